--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Commands for developers; each one installs what it needs into $(VENV) first.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+FAULTS ?= 0
+SEED ?= 1
+EXAMPLES ?= 200
+
+.PHONY: demo test lint format bench fuzz
+
+$(VENV)/.installed:
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: | $(VENV)/.installed
+	@PYTHONPATH=src $(PYTHON) -m verbenawind.standins.demo --faults=$(FAULTS) --seed=$(SEED)
+
+test: | $(VENV)/.installed
+	$(PYTHON) -m pytest
+
+lint: | $(VENV)/.installed
+	$(VENV)/bin/black --check --quiet src tests bench
+	$(VENV)/bin/ruff check --quiet src tests bench
+	$(VENV)/bin/mypy --no-error-summary
+
+format: | $(VENV)/.installed
+	$(VENV)/bin/black --quiet src tests bench
+	$(VENV)/bin/ruff check --quiet --fix src tests bench
+
+bench: | $(VENV)/.installed
+	PYTHONPATH=src $(PYTHON) -m bench
+
+fuzz: | $(VENV)/.installed
+	VERBENAWIND_FUZZ_SEED=$(SEED) VERBENAWIND_FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest tests/fuzz
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/src/verbenawind/daemon.py
@@ -0,0 +1,212 @@
+"""The daemon: its composition root, its life, and the program ``verbenawindd``."""
+
+import asyncio
+import signal
+from random import Random
+
+import structlog
+from absl import app as absl_app
+from absl import flags
+
+from verbenawind.api import ApiServices, build_app
+from verbenawind.clock import SystemClock
+from verbenawind.errors import StoreUnavailable
+from verbenawind.http_server import HttpServer
+from verbenawind.kernel import Fleet
+from verbenawind.kernel.messages import Location
+from verbenawind.kernel.ports import Outside
+from verbenawind.logs import configure_logs
+from verbenawind.membership import LonePeerBus
+from verbenawind.plugins.backend_clients import PluginBackendClients
+from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
+from verbenawind.plugins.platform_http import (
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableStore,
+    HttpWeightStore,
+)
+from verbenawind.rollout import Rollouts
+from verbenawind.routing import Dispatcher
+from verbenawind.routing.watcher import FleetWatcher
+from verbenawind.settings import DaemonSettings, load_settings
+from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
+from verbenawind.weights import WeightsController
+
+__all__ = ["Core", "Daemon", "connect_outside", "run"]
+
+_SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
+_CONFIGURATION_PERIOD_S = 1.0
+
+
+class Core:
+    """The composition root: one daemon's parts without its HTTP server.
+
+    Args:
+        settings: The daemon's settings.
+        outside: Everything outside the daemon.
+    """
+
+    def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
+        clock, rng = outside.clock, outside.rng
+        self.settings = settings
+        self.outside = outside
+        self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
+        self.table = TableClient(outside.table, clock, rng)
+        self.objects = ObjectClient(outside.objects, clock, rng)
+        self.leases = LeaseManager(self.table, clock, settings.daemon_id)
+        self.peers = LonePeerBus(settings.daemon_id)
+        self.configuration = ConfigurationStore(self.table, clock)
+        self.dispatcher = Dispatcher(self.fleet, outside.clients, clock)
+        self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
+        self.rollouts = Rollouts(
+            table=self.table,
+            objects=self.objects,
+            leases=self.leases,
+            generator=self.dispatcher,
+            clock=clock,
+        )
+        self.weights = WeightsController(
+            fleet=self.fleet,
+            clients=outside.clients,
+            table=self.table,
+            leases=self.leases,
+            configuration=self.configuration,
+            clock=clock,
+        )
+        self.ready = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._log = structlog.get_logger("daemon")
+
+    async def start(self) -> None:
+        """Begin working; the daemon is ready once it has a view of the configuration."""
+        self.configuration.subscribe(self.rollouts.apply)
+        await self._refresh_configuration()
+        await self.watcher.refresh()
+        for work in (self.watcher.run(), self.weights.run(), self._follow_configuration()):
+            self._tasks.append(asyncio.get_running_loop().create_task(work))
+        self.ready = True
+
+    async def stop(self) -> None:
+        """Give back leases and stop working."""
+        self.ready = False
+        await self.rollouts.stop()
+        await self._cancel_tasks()
+        await self.leases.stop()
+
+    async def kill(self) -> None:
+        """Stop at once without telling anybody, as a crash would."""
+        self.ready = False
+        self.leases.abandon()
+        await self.rollouts.stop()
+        await self._cancel_tasks()
+
+    async def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _refresh_configuration(self) -> None:
+        try:
+            await self.configuration.refresh()
+        except StoreUnavailable as error:
+            self._log.warning("configuration_unavailable", error=error.message)
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            await self.outside.clock.sleep(_CONFIGURATION_PERIOD_S)
+            await self._refresh_configuration()
+
+
+class Daemon:
+    """A core behind its HTTP server.
+
+    Args:
+        settings: The daemon's settings.
+        outside: Everything outside the daemon.
+    """
+
+    def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
+        self.core = Core(settings, outside)
+        services = ApiServices(
+            settings=settings,
+            configuration=self.core.configuration,
+            generator=self.core.dispatcher,
+            service_caller=self.core.dispatcher,
+            rollouts=self.core.rollouts,
+            clock=outside.clock,
+        )
+        host, _, port = settings.listen.rpartition(":")
+        self._server = HttpServer(
+            build_app(services, lambda: self.core.ready),
+            host,
+            int(port),
+            max_connections=settings.limits.max_connections,
+        )
+
+    @property
+    def address(self) -> str:
+        """The bound address of the HTTP interface as ``IP:port``."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Start the core, then serve."""
+        await self.core.start()
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Become unready, let every request in flight end, then stop."""
+        self.core.ready = False
+        await self._server.stop()
+        await self.core.stop()
+
+    async def kill(self) -> None:
+        """Die at once, as a crash would."""
+        await self.core.kill()
+        await self._server.kill()
+
+
+def connect_outside(settings: DaemonSettings) -> Outside:
+    """Return the adapters to everything outside, as the settings name them."""
+    url = settings.platform_url
+    return Outside(
+        clock=SystemClock(),
+        rng=Random(),
+        table=HttpTableStore(url),
+        objects=HttpObjectStore(url),
+        hosts=HttpHostList(url),
+        weights=HttpWeightStore(url),
+        clients=PluginBackendClients(
+            engine_adapter=lambda _: "openai-http",
+            service_adapter=lambda _: "service-http",
+            scoring_adapter=lambda _: "scoring-http",
+        ),
+        transport=WebSocketPeerTransport(),
+    )
+
+
+async def serve(settings: DaemonSettings) -> None:
+    """Run a daemon until SIGTERM or SIGINT asks for a graceful shutdown."""
+    daemon = Daemon(settings, connect_outside(settings))
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    await daemon.start()
+    structlog.get_logger("daemon").info("serving", address=daemon.address)
+    await stopping.wait()
+    await daemon.stop()
+
+
+def _main(_: list[str]) -> None:
+    settings = load_settings(_SETTINGS.value)
+    configure_logs(settings.log_level, daemon_id=settings.daemon_id)
+    asyncio.run(serve(settings))
+
+
+def run() -> None:
+    """Run the program ``verbenawindd``."""
+    flags.mark_flag_as_required("settings")
+    absl_app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/verbenawind/document/__init__.py
@@ -0,0 +1,41 @@
+"""The environment document: its types, its reader and its checks."""
+
+from verbenawind.document.loading import canonical_bytes, document_digest, parse_document
+from verbenawind.document.types import (
+    CallerKind,
+    CallerSpec,
+    CrossRegionSpec,
+    Delivery,
+    EnvironmentDocument,
+    EnvironmentRevision,
+    ModelSpec,
+    PoolSpec,
+    RouteSpec,
+    ScoringServiceSpec,
+    ServiceSpec,
+    Stage,
+    StalenessSpec,
+    SwapPolicy,
+    TrainerSpec,
+)
+
+__all__ = [
+    "CallerKind",
+    "CallerSpec",
+    "CrossRegionSpec",
+    "Delivery",
+    "EnvironmentDocument",
+    "EnvironmentRevision",
+    "ModelSpec",
+    "PoolSpec",
+    "RouteSpec",
+    "ScoringServiceSpec",
+    "ServiceSpec",
+    "Stage",
+    "StalenessSpec",
+    "SwapPolicy",
+    "TrainerSpec",
+    "canonical_bytes",
+    "document_digest",
+    "parse_document",
+]
--- /dev/null
+++ b/src/verbenawind/plugins/engine_http.py
@@ -0,0 +1,211 @@
+"""Adapter for engines with an OpenAI-compatible completions endpoint and admin extensions."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Any
+
+import httpx
+import msgspec
+
+from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    FencingRefused,
+    StreamTruncated,
+)
+from verbenawind.kernel.messages import (
+    BackendServer,
+    CacheEvents,
+    EngineEvent,
+    EngineOrder,
+    EngineStatus,
+    GenerationAttempt,
+    GenerationEnded,
+    TokensGenerated,
+)
+from verbenawind.kernel.ports import EngineClient
+from verbenawind.plugins.http_errors import backend_errors
+from verbenawind.plugins.registries import ENGINE_ADAPTERS
+
+__all__ = ["HttpEngineClient"]
+
+_CONNECT_TIMEOUT_S = 2.0
+_STATUS_TIMEOUT_S = 2.0
+_STREAM_SILENCE_TIMEOUT_S = 30.0
+_MAX_CONNECTIONS = 512
+_REFUSED = 503
+_FENCED = 409
+_DONE = "[DONE]"
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    token_ids: tuple[int, ...] = ()
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice]
+    start: int = 0
+    weight_version: int | None = None
+    usage: _Usage | None = None
+
+
+_CHUNKS = msgspec.json.Decoder(_Chunk)
+
+
+class HttpEngineClient:
+    """Speaks to one engine over HTTP; implements the EngineClient port.
+
+    Args:
+        server: The engine.
+    """
+
+    __slots__ = ("_client", "_server")
+
+    def __init__(self, server: BackendServer) -> None:
+        self._server = server
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{server.address}",
+            timeout=httpx.Timeout(_STREAM_SILENCE_TIMEOUT_S, connect=_CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(max_connections=_MAX_CONNECTIONS),
+            trust_env=False,
+        )
+
+    async def generate(self, attempt: GenerationAttempt) -> AsyncGenerator[EngineEvent, None]:
+        """Stream one attempt; closing the generator closes the connection and so cancels it."""
+        body = msgspec.json.encode(
+            {
+                "model": attempt.model,
+                "prompt": attempt.prompt,
+                "max_tokens": attempt.max_tokens,
+                "temperature": attempt.temperature,
+                "seed": attempt.seed,
+                "stream": True,
+                "return_token_ids": True,
+                "attempt_id": attempt.attempt_id,
+                "request_id": attempt.request_id,
+                "held_token_ids": attempt.held_token_ids,
+            }
+        )
+        what = f"engine {self._server.server_id} attempt {attempt.attempt_id}"
+        with backend_errors(what):
+            async with self._client.stream("POST", "/v1/completions", content=body) as response:
+                if response.status_code == _REFUSED:
+                    raise AdmissionRefused(f"{what}: refused")
+                if response.status_code != httpx.codes.OK:
+                    raise BackendServerFailed(f"{what}: status {response.status_code}")
+                async for event in self._events(attempt.attempt_id, response, what):
+                    yield event
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Ask the engine to stop an attempt."""
+        await self._call("POST", f"/v1/cancel/{attempt_id}")
+
+    async def status(self) -> EngineStatus:
+        """Return the engine's report."""
+        answer = await self._call("GET", "/status", timeout_s=_STATUS_TIMEOUT_S)
+        return msgspec.json.decode(answer, type=EngineStatus)
+
+    async def order(self, order: EngineOrder) -> EngineStatus:
+        """Send an order and return the status after it."""
+        answer = await self._call(
+            "POST", "/orders", content=msgspec.json.encode(order), timeout_s=order.timeout_s
+        )
+        return msgspec.json.decode(answer, type=EngineStatus)
+
+    async def cache_events(self, position: int) -> CacheEvents:
+        """Return the cache events after *position*."""
+        answer = await self._call("GET", f"/cache/events?position={position}")
+        return msgspec.json.decode(answer, type=CacheEvents)
+
+    async def export_cache(self, attempt_id: str) -> bytes:
+        """Return the KV cache of a running attempt."""
+        return await self._call("GET", f"/cache/attempts/{attempt_id}")
+
+    async def import_cache(self, attempt_id: str, cache: bytes) -> None:
+        """Load a KV cache."""
+        await self._call("PUT", f"/cache/attempts/{attempt_id}", content=cache)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self, method: str, path: str, *, content: bytes | None = None, timeout_s: float = 10.0
+    ) -> bytes:
+        what = f"engine {self._server.server_id} {method} {path}"
+        with backend_errors(what):
+            response = await self._client.request(method, path, content=content, timeout=timeout_s)
+        if response.status_code == _FENCED:
+            raise FencingRefused(f"{what}: {response.text}")
+        if response.status_code == _REFUSED:
+            raise AdmissionRefused(f"{what}: refused")
+        if response.status_code >= httpx.codes.BAD_REQUEST:
+            raise BackendServerFailed(f"{what}: status {response.status_code}")
+        return response.content
+
+    async def _events(
+        self, attempt_id: str, response: httpx.Response, what: str
+    ) -> AsyncIterator[EngineEvent]:
+        ended: GenerationEnded | None = None
+        async for data in _sse_data(response):
+            if data == _DONE:
+                if ended is None:
+                    break
+                yield ended
+                return
+            chunk = _decode(data, what)
+            choice = chunk.choices[0]
+            if choice.token_ids:
+                yield TokensGenerated(
+                    attempt_id=attempt_id,
+                    start=chunk.start,
+                    token_ids=choice.token_ids,
+                    text=choice.text,
+                    version=chunk.weight_version,
+                )
+            if choice.finish_reason is not None and chunk.usage is not None:
+                ended = GenerationEnded(
+                    attempt_id=attempt_id,
+                    token_count=chunk.usage.completion_tokens,
+                    finish_reason=choice.finish_reason,
+                )
+        raise StreamTruncated(f"{what}: the stream ended without its end mark")
+
+
+async def _sse_data(response: httpx.Response) -> AsyncIterator[str]:
+    async for line in response.aiter_lines():
+        if line.startswith("data: "):
+            yield line[6:]
+
+
+def _decode(data: str, what: str) -> _Chunk:
+    try:
+        return _CHUNKS.decode(data)
+    except msgspec.DecodeError as error:
+        raise BackendServerFailed(f"{what}: undecodable chunk {data[:80]!r}") from error
+
+
+@ENGINE_ADAPTERS.register("openai-http")
+def _connect(server: BackendServer) -> EngineClient:
+    return HttpEngineClient(server)
+
+
+def chunk_payload(event: EngineEvent, model: str) -> dict[str, Any]:
+    """Return the JSON form of an event as an engine of this kind sends it."""
+    base: dict[str, Any] = {"id": event.attempt_id, "object": "text_completion", "model": model}
+    if isinstance(event, TokensGenerated):
+        choice = {"index": 0, "text": event.text, "token_ids": event.token_ids}
+        return base | {
+            "choices": [choice | {"finish_reason": None}],
+            "start": event.start,
+            "weight_version": event.version,
+        }
+    return base | {
+        "choices": [{"index": 0, "text": "", "finish_reason": event.finish_reason}],
+        "usage": {"completion_tokens": event.token_count},
+    }
--- /dev/null
+++ b/src/verbenawind/plugins/platform_http.py
@@ -0,0 +1,104 @@
+"""Adapters for the platform's table service, object store, host list and weight store."""
+
+from collections.abc import Mapping, Sequence
+
+import httpx
+import msgspec
+
+from verbenawind.errors import ConditionFailed, StoreUnavailable
+from verbenawind.kernel.messages import HostEntry, WeightManifest
+from verbenawind.kernel.ports import Row, Transaction
+from verbenawind.plugins.http_errors import store_errors
+
+__all__ = ["HttpHostList", "HttpObjectStore", "HttpTableStore", "HttpWeightStore"]
+
+_TIMEOUT_S = 5.0
+_CONFLICT = 409
+
+
+class _PlatformClient:
+    """The HTTP connection that the adapters below share the form of."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, base_url: str, *, timeout_s: float = _TIMEOUT_S) -> None:
+        self._client = httpx.AsyncClient(base_url=base_url, timeout=timeout_s, trust_env=False)
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        content: bytes | None = None,
+        params: Mapping[str, str | int] | None = None,
+    ) -> httpx.Response:
+        what = f"platform {method} {path}"
+        with store_errors(what):
+            response = await self._client.request(method, path, content=content, params=params)
+        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+            raise StoreUnavailable(f"{what}: status {response.status_code}", effect_possible=True)
+        return response
+
+
+class HttpTableStore(_PlatformClient):
+    """The table service; implements the TableStore port."""
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return the rows that exist among *keys*."""
+        response = await self._call("POST", "/table/read", content=msgspec.json.encode(list(keys)))
+        rows = msgspec.json.decode(response.content, type=list[Row])
+        return {row.key: row for row in rows}
+
+    async def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> Sequence[Row]:
+        """Return rows below *prefix* that sort after *after*."""
+        params: dict[str, str | int] = {"prefix": prefix, "after": after, "limit": limit}
+        response = await self._call("GET", "/table/scan", params=params)
+        return msgspec.json.decode(response.content, type=list[Row])
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply a transaction whole or not at all."""
+        content = msgspec.json.encode(transaction)
+        response = await self._call("POST", "/table/commit", content=content)
+        if response.status_code == _CONFLICT:
+            raise ConditionFailed(msgspec.json.decode(response.content, type=list[str]))
+
+
+class HttpObjectStore(_PlatformClient):
+    """The object store; implements the ObjectStore port."""
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Store *data* under *key*."""
+        await self._call("PUT", f"/objects/{key}", content=data)
+
+    async def get(self, key: str) -> bytes | None:
+        """Return the object, None when absent."""
+        response = await self._call("GET", f"/objects/{key}")
+        return None if response.status_code == httpx.codes.NOT_FOUND else response.content
+
+    async def delete(self, key: str) -> None:
+        """Remove an object."""
+        await self._call("DELETE", f"/objects/{key}")
+
+
+class HttpHostList(_PlatformClient):
+    """The host list; implements the HostList port."""
+
+    async def hosts(self) -> Sequence[HostEntry]:
+        """Return the hosts as the platform sees them."""
+        response = await self._call("GET", "/hosts")
+        return msgspec.json.decode(response.content, type=list[HostEntry])
+
+
+class HttpWeightStore(_PlatformClient):
+    """The weight store; implements the WeightStore port."""
+
+    async def manifest(self, model: str, version: int) -> WeightManifest | None:
+        """Return a version's manifest, None when the store has none."""
+        response = await self._call("GET", f"/weights/{model}/{version}")
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return None
+        return msgspec.json.decode(response.content, type=WeightManifest)
--- /dev/null
+++ b/src/verbenawind/standins/engine.py
@@ -0,0 +1,459 @@
+"""A stand-in model engine: batches continuously, admits in arrival order, knows no priorities."""
+
+import asyncio
+import math
+import zlib
+from collections import OrderedDict, deque
+from collections.abc import AsyncGenerator
+from random import Random
+
+from verbenawind.clock import Clock
+from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    BackendServerUnreachable,
+    FencingRefused,
+)
+from verbenawind.kernel.messages import (
+    CacheEvents,
+    EngineEvent,
+    EngineOrder,
+    EngineStatus,
+    GenerationAttempt,
+    GenerationEnded,
+    ModelStatus,
+    OrderKind,
+    SwapState,
+    TokensGenerated,
+)
+
+__all__ = ["EngineFaults", "EngineProfile", "StandinEngine", "expected_token", "natural_length"]
+
+_VOCABULARY = 50_000
+_BLOCK_CHARACTERS = 64
+CRASH_MARK = "[crash-engine]"
+
+
+def expected_token(model: str, version: int, prompt: str, seed: int, index: int) -> int:
+    """Return the token that *version* produces at *index*; outsiders check labels with it."""
+    return zlib.crc32(f"{model}|{version}|{prompt}|{seed}|{index}".encode()) % _VOCABULARY
+
+
+def natural_length(prompt: str, seed: int, median_tokens: int = 48, sigma: float = 0.8) -> int:
+    """Return the heavy-tailed length at which a generation ends by itself, in tokens."""
+    normal = Random(f"{prompt}|{seed}").gauss(0.0, sigma)
+    return max(1, round(median_tokens * math.exp(normal)))
+
+
+class EngineProfile:
+    """The speed and limits of a stand-in engine.
+
+    Args:
+        max_running: Size of the continuous batch.
+        tick_s: Time of one batch step, in seconds.
+        tokens_per_tick: Tokens that each running request gets in one step.
+        prefill_tokens_per_s: Prompt characters read per second when no prefix is cached.
+        prefix_blocks: How many prefix blocks the cache holds.
+        load_lag_s: How late the reported load is, in seconds.
+        event_lag_s: How late cache events appear, in seconds.
+    """
+
+    __slots__ = (
+        "event_lag_s",
+        "load_lag_s",
+        "max_running",
+        "prefill_tokens_per_s",
+        "prefix_blocks",
+        "tick_s",
+        "tokens_per_tick",
+    )
+
+    def __init__(
+        self,
+        *,
+        max_running: int = 16,
+        tick_s: float = 0.02,
+        tokens_per_tick: int = 2,
+        prefill_tokens_per_s: float = 40_000.0,
+        prefix_blocks: int = 4096,
+        load_lag_s: float = 0.5,
+        event_lag_s: float = 1.0,
+    ) -> None:
+        self.max_running = max_running
+        self.tick_s = tick_s
+        self.tokens_per_tick = tokens_per_tick
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.prefix_blocks = prefix_blocks
+        self.load_lag_s = load_lag_s
+        self.event_lag_s = event_lag_s
+
+
+class EngineFaults:
+    """Fault knobs of a stand-in engine.
+
+    ``stalled`` freezes the batch; ``unreachable`` refuses connections; ``drop_end_mark`` ends
+    streams without their mark; ``fail_next_swaps`` makes that many activations stop halfway;
+    ``version_report_lag_s`` makes the status name an old version for a while after a swap;
+    ``event_gap_rate`` is the share of cache events that get lost.
+    """
+
+    __slots__ = (
+        "drop_end_mark",
+        "event_gap_rate",
+        "fail_next_swaps",
+        "stalled",
+        "unreachable",
+        "version_report_lag_s",
+    )
+
+    def __init__(self) -> None:
+        self.stalled = False
+        self.unreachable = False
+        self.drop_end_mark = False
+        self.fail_next_swaps = 0
+        self.version_report_lag_s = 0.0
+        self.event_gap_rate = 0.1
+
+
+class _Running:
+    __slots__ = ("attempt", "end_at", "position", "queue", "ready_at_s")
+
+    def __init__(self, attempt: GenerationAttempt) -> None:
+        self.attempt = attempt
+        self.position = len(attempt.held_token_ids)
+        self.end_at = min(attempt.max_tokens, natural_length(attempt.prompt, attempt.seed))
+        self.ready_at_s = 0.0
+        self.queue: asyncio.Queue[EngineEvent | Exception] = asyncio.Queue()
+
+
+class _Weights:
+    __slots__ = ("active", "changed_at_s", "previous", "staged", "state")
+
+    def __init__(self, version: int) -> None:
+        self.active: int | None = version
+        self.previous: int | None = version
+        self.changed_at_s = -1e9
+        self.staged: set[int] = set()
+        self.state = SwapState.IDLE
+
+
+class StandinEngine:
+    """One engine; it implements the EngineClient port directly.
+
+    Args:
+        server_id: The engine's name in the host list.
+        models: The weight version of each model at start.
+        clock: Time source; a virtual-time loop's clock in tests.
+        rng: Seeded randomness for cache-event gaps.
+        profile: Speed and limits.
+        checks_fencing: Whether orders with an old fencing number are refused.
+        stage_s: How long staging weights takes, in seconds.
+        swap_s: How long activating staged weights takes, in seconds.
+    """
+
+    def __init__(
+        self,
+        server_id: str,
+        models: dict[str, int],
+        clock: Clock,
+        rng: Random,
+        *,
+        profile: EngineProfile | None = None,
+        checks_fencing: bool = True,
+        stage_s: float = 0.2,
+        swap_s: float = 0.1,
+    ) -> None:
+        self.server_id = server_id
+        self.incarnation = 1
+        self.leaving = False
+        self.faults = EngineFaults()
+        self.profile = profile or EngineProfile()
+        self.checks_fencing = checks_fencing
+        self.fencing_number = 0
+        self.started_request_ids: list[str] = []
+        self.orders: list[EngineOrder] = []
+        self.crashes = 0
+        self._initial = dict(models)
+        self._weights = {model: _Weights(version) for model, version in models.items()}
+        self._clock = clock
+        self._rng = rng
+        self._stage_s = stage_s
+        self._swap_s = swap_s
+        self._down = False
+        self._running: dict[str, _Running] = {}
+        self._waiting: deque[_Running] = deque()
+        self._loads: deque[tuple[float, int, int]] = deque()
+        self._prefixes: OrderedDict[int, None] = OrderedDict()
+        self._events: list[tuple[float, int, bool]] = []
+        self._ticker: asyncio.Task[None] | None = None
+
+    # The EngineClient port.
+
+    async def generate(self, attempt: GenerationAttempt) -> AsyncGenerator[EngineEvent, None]:
+        """Admit the attempt in arrival order and stream its tokens."""
+        self._check_reachable()
+        if self.leaving:
+            raise AdmissionRefused(f"engine {self.server_id} is leaving")
+        if attempt.model not in self._weights:
+            raise AdmissionRefused(f"engine {self.server_id} has no model {attempt.model!r}")
+        self.started_request_ids.append(attempt.request_id)
+        running = _Running(attempt)
+        self._waiting.append(running)
+        self._note_load()
+        if CRASH_MARK in attempt.prompt:
+            self.crash()
+        self._ensure_ticking()
+        try:
+            while True:
+                event = await running.queue.get()
+                if isinstance(event, Exception):
+                    raise event
+                if isinstance(event, GenerationEnded) and self.faults.drop_end_mark:
+                    return
+                yield event
+                if isinstance(event, GenerationEnded):
+                    return
+        finally:
+            self._remove(running)
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt; unknown attempts are ignored."""
+        self._check_reachable()
+        running = self._running.get(attempt_id)
+        if running is not None:
+            self._remove(running)
+
+    async def status(self) -> EngineStatus:
+        """Return the engine's report; the load in it is ``load_lag_s`` old."""
+        self._check_reachable()
+        running, waiting = self._lagged_load()
+        return EngineStatus(
+            server_id=self.server_id,
+            incarnation=self.incarnation,
+            models=tuple(
+                ModelStatus(
+                    model=model,
+                    active_version=self._reported_version(weights),
+                    staged_versions=tuple(sorted(weights.staged)),
+                    swap_state=weights.state,
+                )
+                for model, weights in self._weights.items()
+            ),
+            running=running,
+            waiting=waiting,
+            max_running=self.profile.max_running,
+            leaving=self.leaving,
+            fencing_number=self.fencing_number,
+        )
+
+    async def order(self, order: EngineOrder) -> EngineStatus:
+        """Stage or activate weights; a swap that fails halfway leaves no definite version."""
+        self._check_reachable()
+        if self.checks_fencing and order.fencing_number < self.fencing_number:
+            raise FencingRefused(
+                f"engine {self.server_id} refuses fencing number {order.fencing_number}: "
+                f"it knows {self.fencing_number}"
+            )
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        self.orders.append(order)
+        incarnation = self.incarnation
+        weights = self._weights.setdefault(order.model, _Weights(order.version))
+        if order.kind is OrderKind.STAGE:
+            await self._clock.sleep(self._stage_s)
+            self._check_same(incarnation)
+            weights.staged.add(order.version)
+            return await self.status()
+        if weights.active is not None and weights.active >= order.version:
+            return await self.status()
+        await self._activate(order, weights, incarnation)
+        return await self.status()
+
+    async def cache_events(self, position: int) -> CacheEvents:
+        """Return late cache events after *position*; lost ones show as a gap."""
+        self._check_reachable()
+        horizon_s = self._clock.monotonic_s() - self.profile.event_lag_s
+        added: list[int] = []
+        gap = False
+        end = position
+        for at_s, prefix_hash, lost in self._events[position:]:
+            if at_s > horizon_s:
+                break
+            end += 1
+            gap = gap or lost
+            if not lost:
+                added.append(prefix_hash)
+        return CacheEvents(position=end, added_prefix_hashes=tuple(added), gap=gap)
+
+    async def export_cache(self, attempt_id: str) -> bytes:
+        """Return a token for the KV cache of a running attempt."""
+        self._check_reachable()
+        if attempt_id not in self._running:
+            raise AdmissionRefused(f"engine {self.server_id} runs no attempt {attempt_id!r}")
+        return f"kv:{attempt_id}".encode()
+
+    async def import_cache(self, attempt_id: str, cache: bytes) -> None:
+        """Accept a KV cache."""
+        self._check_reachable()
+        if not cache.startswith(b"kv:"):
+            raise AdmissionRefused(f"engine {self.server_id} cannot read cache of {attempt_id!r}")
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
+
+    # Faults and life.
+
+    def crash(self) -> None:
+        """Lose everything in flight and all staged weights; refuse calls until restarted."""
+        self.crashes += 1
+        self._down = True
+        failure = f"engine {self.server_id} crashed"
+        for running in [*self._running.values(), *self._waiting]:
+            running.queue.put_nowait(BackendServerFailed(failure))
+        self._running.clear()
+        self._waiting.clear()
+
+    def restart(self) -> None:
+        """Come back as a new incarnation with the weights of the first start."""
+        self._down = False
+        self.incarnation += 1
+        self.fencing_number = 0
+        self.leaving = False
+        self._prefixes.clear()
+        self._weights = {model: _Weights(version) for model, version in self._initial.items()}
+
+    @property
+    def down(self) -> bool:
+        """Whether the engine has crashed and not come back."""
+        return self._down
+
+    def active_version(self, model: str) -> int | None:
+        """Return the version that really produces tokens, None halfway through a failed swap."""
+        return self._weights[model].active
+
+    async def stop(self) -> None:
+        """End the batch loop."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+
+    def _check_reachable(self) -> None:
+        if self._down or self.faults.unreachable:
+            raise BackendServerUnreachable(f"engine {self.server_id} refuses connections")
+
+    def _check_same(self, incarnation: int) -> None:
+        if self._down or incarnation != self.incarnation:
+            raise BackendServerFailed(f"engine {self.server_id} restarted during an order")
+
+    async def _activate(self, order: EngineOrder, weights: _Weights, incarnation: int) -> None:
+        if order.version not in weights.staged:
+            await self._clock.sleep(self._stage_s)
+            self._check_same(incarnation)
+            weights.staged.add(order.version)
+        weights.state = SwapState.SWAPPING
+        weights.previous, weights.active = weights.active, None
+        await self._clock.sleep(self._swap_s)
+        self._check_same(incarnation)
+        if self.faults.fail_next_swaps > 0:
+            self.faults.fail_next_swaps -= 1
+            weights.state = SwapState.FAILED
+            raise BackendServerFailed(f"engine {self.server_id} failed to swap {order.model!r}")
+        weights.active = order.version
+        weights.changed_at_s = self._clock.monotonic_s()
+        weights.staged.discard(order.version)
+        weights.state = SwapState.IDLE
+
+    def _reported_version(self, weights: _Weights) -> int | None:
+        age_s = self._clock.monotonic_s() - weights.changed_at_s
+        if weights.active is not None and age_s < self.faults.version_report_lag_s:
+            return weights.previous
+        return weights.active
+
+    # The batch.
+
+    def _ensure_ticking(self) -> None:
+        if self._ticker is None or self._ticker.done():
+            self._ticker = asyncio.get_running_loop().create_task(self._tick_until_idle())
+
+    async def _tick_until_idle(self) -> None:
+        while self._running or self._waiting:
+            await self._clock.sleep(self.profile.tick_s)
+            if not self.faults.stalled:
+                self._admit()
+                self._advance()
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.profile.max_running:
+            running = self._waiting.popleft()
+            running.ready_at_s = self._clock.monotonic_s() + self._prefill_s(running.attempt)
+            self._running[running.attempt.attempt_id] = running
+        self._note_load()
+
+    def _advance(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for running in list(self._running.values()):
+            weights = self._weights[running.attempt.model]
+            if running.ready_at_s > now_s or weights.active is None:
+                continue
+            self._emit(running, weights.active)
+
+    def _emit(self, running: _Running, version: int) -> None:
+        attempt = running.attempt
+        start = running.position
+        end = min(running.end_at, start + self.profile.tokens_per_tick)
+        token_ids = tuple(
+            expected_token(attempt.model, version, attempt.prompt, attempt.seed, index)
+            for index in range(start, end)
+        )
+        if token_ids:
+            running.queue.put_nowait(
+                TokensGenerated(
+                    attempt_id=attempt.attempt_id,
+                    start=start,
+                    token_ids=token_ids,
+                    text="".join(f"t{token_id} " for token_id in token_ids),
+                    version=version,
+                )
+            )
+        running.position = end
+        if end >= running.end_at:
+            reason = "length" if running.end_at >= attempt.max_tokens else "stop"
+            running.queue.put_nowait(
+                GenerationEnded(
+                    attempt_id=attempt.attempt_id, token_count=max(end, start), finish_reason=reason
+                )
+            )
+            self._remove(running)
+
+    def _remove(self, running: _Running) -> None:
+        self._running.pop(running.attempt.attempt_id, None)
+        if running in self._waiting:
+            self._waiting.remove(running)
+        self._note_load()
+
+    def _prefill_s(self, attempt: GenerationAttempt) -> float:
+        blocks = [
+            zlib.crc32(attempt.prompt[: end + _BLOCK_CHARACTERS].encode())
+            for end in range(0, len(attempt.prompt), _BLOCK_CHARACTERS)
+        ]
+        missing = [block for block in blocks if block not in self._prefixes]
+        for block in blocks:
+            self._prefixes[block] = None
+            self._prefixes.move_to_end(block)
+        now_s = self._clock.monotonic_s()
+        for block in missing:
+            lost = self._rng.random() < self.faults.event_gap_rate
+            self._events.append((now_s, block, lost))
+        while len(self._prefixes) > self.profile.prefix_blocks:
+            self._prefixes.popitem(last=False)
+        characters = len(missing) * _BLOCK_CHARACTERS + len(attempt.held_token_ids)
+        return characters / self.profile.prefill_tokens_per_s
+
+    def _note_load(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._loads.append((now_s, len(self._running), len(self._waiting)))
+        while len(self._loads) > 1 and self._loads[1][0] <= now_s - self.profile.load_lag_s:
+            self._loads.popleft()
+
+    def _lagged_load(self) -> tuple[int, int]:
+        self._note_load()
+        _, running, waiting = self._loads[0]
+        return running, waiting
--- /dev/null
+++ b/src/verbenawind/standins/services.py
@@ -0,0 +1,93 @@
+"""Stand-ins for a plain service and a scoring service."""
+
+import asyncio
+import zlib
+from collections import Counter
+
+import msgspec
+
+from verbenawind.clock import Clock
+from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.kernel.messages import (
+    ScoringRequest,
+    ScoringResponse,
+    ServiceRequest,
+    ServiceResponse,
+)
+
+__all__ = ["StandinScoring", "StandinService", "expected_grade"]
+
+
+def expected_grade(text: str) -> float:
+    """Return the grade that the stand-in scoring service gives a text, from 0 to 1."""
+    return zlib.crc32(text.encode()) % 1000 / 1000.0
+
+
+class StandinService:
+    """A plain service that counts how often each request ran; implements ServiceClient.
+
+    ``crash_on_mark`` drops the connection of a request whose body has it, after the effect.
+    """
+
+    def __init__(self, server_id: str, clock: Clock, *, answer_s: float = 0.01) -> None:
+        self.server_id = server_id
+        self.answer_s = answer_s
+        self.unreachable = False
+        self.lose_next_answers = 0
+        self.leaving = False
+        self.runs: Counter[str] = Counter()
+        self._clock = clock
+
+    async def call(self, request: ServiceRequest) -> ServiceResponse:
+        """Run the request and echo what it asked for."""
+        if self.unreachable:
+            raise BackendServerUnreachable(f"service host {self.server_id} refuses connections")
+        self.runs[request.idempotency_key or request.request_id] += 1
+        await self._clock.sleep(self.answer_s)
+        if self.lose_next_answers > 0:
+            self.lose_next_answers -= 1
+            raise BackendServerFailed(f"service host {self.server_id} dropped the connection")
+        answer = {
+            "method": request.method,
+            "path": request.path,
+            "body": request.body.decode(errors="replace"),
+        }
+        return ServiceResponse(
+            status=200,
+            headers={"content-type": "application/json"},
+            body=msgspec.json.encode(answer),
+        )
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class StandinScoring:
+    """A scoring service; implements ScoringClient.
+
+    ``never_answer_next`` makes that many calls hang until their timeout.
+    """
+
+    def __init__(self, server_id: str, clock: Clock, *, answer_s: float = 0.01) -> None:
+        self.server_id = server_id
+        self.answer_s = answer_s
+        self.unreachable = False
+        self.never_answer_next = 0
+        self.calls: Counter[str] = Counter()
+        self._clock = clock
+
+    async def score(self, request: ScoringRequest, timeout_s: float) -> ScoringResponse:
+        """Return the deterministic grade of the sample's text."""
+        if self.unreachable:
+            raise BackendServerUnreachable(f"scoring host {self.server_id} refuses connections")
+        self.calls[request.sample_id] += 1
+        if self.never_answer_next > 0:
+            self.never_answer_next -= 1
+            await self._clock.sleep(timeout_s)
+            raise BackendServerFailed(f"scoring host {self.server_id} gave no answer")
+        async with asyncio.timeout(timeout_s):
+            await self._clock.sleep(self.answer_s)
+        return ScoringResponse(sample_id=request.sample_id, value=expected_grade(request.text))
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
