--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -41,7 +41,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
         config = uvicorn.Config(
-            app,  # type: ignore[arg-type]
+            app,
             loop="asyncio",
             lifespan="off",
             log_config=None,
--- /dev/null
+++ b/src/verbenawind/standins/network.py
@@ -0,0 +1,438 @@
+"""A network between stand-ins and daemons in one process: cuts, loss, delay, pauses."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine, Mapping, Sequence
+from random import Random
+from typing import Any, TypeVar
+
+from verbenawind.clock import Clock
+from verbenawind.errors import (
+    BackendServerFailed,
+    BackendServerUnreachable,
+    PeerUnreachable,
+    StoreUnavailable,
+)
+from verbenawind.kernel.messages import (
+    BackendServer,
+    CacheEvents,
+    EngineEvent,
+    EngineOrder,
+    EngineStatus,
+    GenerationAttempt,
+    HostEntry,
+    ScoringRequest,
+    ScoringResponse,
+    ServiceRequest,
+    ServiceResponse,
+    WeightManifest,
+)
+from verbenawind.kernel.ports import (
+    EngineClient,
+    HostList,
+    ObjectStore,
+    PeerChannel,
+    Row,
+    ScoringClient,
+    ServiceClient,
+    TableStore,
+    Transaction,
+    WeightStore,
+)
+
+__all__ = ["PLATFORM", "GatedClock", "Process", "StandinNetwork"]
+
+T = TypeVar("T")
+
+PLATFORM = "platform"
+_CUT_DETECTION_S = 0.5
+
+
+class StandinNetwork:
+    """Says which sites reach which others; a site is an availability zone or the platform.
+
+    Args:
+        clock: Time source.
+        rng: Seeded randomness for loss.
+        delay_s: One-way delay between two sites, in seconds.
+    """
+
+    def __init__(
+        self, clock: Clock, rng: Random, delay_s: Callable[[str, str], float] | None = None
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.loss_rate = 0.0
+        self.listeners: dict[
+            str, tuple[str, Callable[[PeerChannel], Coroutine[Any, Any, None]]]
+        ] = {}
+        self._delay_s = delay_s or (lambda _a, _b: 0.001)
+        self._cuts: set[tuple[str, str]] = set()
+        self._next_port = 7000
+
+    def cut(self, source: str, target: str, *, both_ways: bool = True) -> None:
+        """Lose everything from *source* to *target*, and back unless one way only."""
+        self._cuts.add((source, target))
+        if both_ways:
+            self._cuts.add((target, source))
+
+    def heal(self) -> None:
+        """Undo every cut."""
+        self._cuts.clear()
+
+    def reaches(self, source: str, target: str) -> bool:
+        """Return whether *source* can send to *target*."""
+        return (source, target) not in self._cuts
+
+    async def travel(self, source: str, target: str) -> bool:
+        """Wait one way's delay and return whether the message arrives."""
+        await self.clock.sleep(self._delay_s(source, target))
+        return self.reaches(source, target)
+
+    def new_address(self) -> str:
+        """Return an unused address."""
+        self._next_port += 1
+        return f"127.0.0.1:{self._next_port}"
+
+
+class Process:
+    """One daemon's place in the network; it can be paused as a whole, and killed.
+
+    Args:
+        network: The network.
+        zone: The daemon's availability zone.
+    """
+
+    def __init__(self, network: StandinNetwork, zone: str) -> None:
+        self.network = network
+        self.zone = zone
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def pause(self) -> None:
+        """Stop every call of the daemon to the outside, and its sleeps, until resumed."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let the daemon go on."""
+        self._running.set()
+
+    async def gate(self) -> None:
+        """Wait while the process is paused."""
+        await self._running.wait()
+
+    async def store_call(self, what: str, call: Callable[[], Awaitable[T]]) -> T:
+        """Run a call to the platform; raises StoreUnavailable when cut off."""
+        await self.gate()
+        if not await self.network.travel(self.zone, PLATFORM):
+            await self.network.clock.sleep(_CUT_DETECTION_S)
+            raise StoreUnavailable(f"{what}: the platform is cut off", effect_possible=False)
+        result = await call()
+        if not await self.network.travel(PLATFORM, self.zone):
+            await self.network.clock.sleep(_CUT_DETECTION_S)
+            raise StoreUnavailable(f"{what}: no answer", effect_possible=True)
+        await self.gate()
+        return result
+
+    async def backend_call(self, server: BackendServer, call: Callable[[], Awaitable[T]]) -> T:
+        """Run a call to a backend server; raises as the EngineClient port says."""
+        await self.gate()
+        site = server.location.zone
+        if not await self.network.travel(self.zone, site):
+            await self.network.clock.sleep(_CUT_DETECTION_S)
+            raise BackendServerUnreachable(f"server {server.server_id} is cut off")
+        result = await call()
+        if not await self.network.travel(site, self.zone):
+            await self.network.clock.sleep(_CUT_DETECTION_S)
+            raise BackendServerFailed(f"server {server.server_id} gave no answer")
+        await self.gate()
+        return result
+
+
+class GatedClock:
+    """A clock whose sleeps end only while the process runs; implements Clock.
+
+    Args:
+        clock: The shared clock.
+        process: The daemon's process.
+        skew_s: Added to the wall clock, in seconds.
+    """
+
+    def __init__(self, clock: Clock, process: Process) -> None:
+        self._clock = clock
+        self._process = process
+        self.now = clock.now
+        self.monotonic_s = clock.monotonic_s
+
+    async def sleep(self, duration_s: float) -> None:
+        """Sleep, then wait while the process is paused."""
+        await self._clock.sleep(duration_s)
+        await self._process.gate()
+
+
+class NetworkTable:
+    """The table service as one process reaches it; implements TableStore."""
+
+    def __init__(self, process: Process, table: TableStore) -> None:
+        self._process = process
+        self._table = table
+
+    async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
+        """Return the rows that exist among *keys*."""
+        return await self._process.store_call("read", lambda: self._table.read(keys))
+
+    async def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> Sequence[Row]:
+        """Return rows below *prefix*."""
+        return await self._process.store_call(
+            "scan", lambda: self._table.scan(prefix, after=after, limit=limit)
+        )
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply a transaction."""
+        await self._process.store_call("commit", lambda: self._table.commit(transaction))
+
+
+class NetworkObjects:
+    """The object store as one process reaches it; implements ObjectStore."""
+
+    def __init__(self, process: Process, objects: ObjectStore) -> None:
+        self._process = process
+        self._objects = objects
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Store *data* under *key*."""
+        await self._process.store_call("put", lambda: self._objects.put(key, data))
+
+    async def get(self, key: str) -> bytes | None:
+        """Return the object, None when absent."""
+        return await self._process.store_call("get", lambda: self._objects.get(key))
+
+    async def delete(self, key: str) -> None:
+        """Remove an object."""
+        await self._process.store_call("delete", lambda: self._objects.delete(key))
+
+
+class NetworkHosts:
+    """The host list as one process reaches it; implements HostList."""
+
+    def __init__(self, process: Process, hosts: HostList) -> None:
+        self._process = process
+        self._hosts = hosts
+
+    async def hosts(self) -> Sequence[HostEntry]:
+        """Return the hosts as the platform sees them."""
+        return await self._process.store_call("hosts", self._hosts.hosts)
+
+
+class NetworkWeights:
+    """The weight store as one process reaches it; implements WeightStore."""
+
+    def __init__(self, process: Process, weights: WeightStore) -> None:
+        self._process = process
+        self._weights = weights
+
+    async def manifest(self, model: str, version: int) -> WeightManifest | None:
+        """Return a version's manifest."""
+        return await self._process.store_call(
+            "manifest", lambda: self._weights.manifest(model, version)
+        )
+
+
+class NetworkEngine:
+    """One engine as one process reaches it; implements EngineClient."""
+
+    def __init__(self, process: Process, server: BackendServer, engine: EngineClient) -> None:
+        self._process = process
+        self._server = server
+        self._engine = engine
+
+    async def generate(self, attempt: GenerationAttempt) -> AsyncGenerator[EngineEvent, None]:
+        """Stream an attempt; a cut ends the stream with BackendServerFailed."""
+        process, site = self._process, self._server.location.zone
+        await process.gate()
+        if not await process.network.travel(process.zone, site):
+            await process.network.clock.sleep(_CUT_DETECTION_S)
+            raise BackendServerUnreachable(f"engine {self._server.server_id} is cut off")
+        events = self._engine.generate(attempt)
+        try:
+            async for event in events:
+                if not process.network.reaches(site, process.zone):
+                    await process.network.clock.sleep(_CUT_DETECTION_S)
+                    raise BackendServerFailed(f"engine {self._server.server_id} is cut off")
+                await process.gate()
+                yield event
+        finally:
+            await events.aclose()
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt."""
+        await self._process.backend_call(self._server, lambda: self._engine.cancel(attempt_id))
+
+    async def status(self) -> EngineStatus:
+        """Return the engine's report."""
+        return await self._process.backend_call(self._server, self._engine.status)
+
+    async def order(self, order: EngineOrder) -> EngineStatus:
+        """Carry out an order."""
+        return await self._process.backend_call(self._server, lambda: self._engine.order(order))
+
+    async def cache_events(self, position: int) -> CacheEvents:
+        """Return the cache events after *position*."""
+        return await self._process.backend_call(
+            self._server, lambda: self._engine.cache_events(position)
+        )
+
+    async def export_cache(self, attempt_id: str) -> bytes:
+        """Return the KV cache of a running attempt."""
+        return await self._process.backend_call(
+            self._server, lambda: self._engine.export_cache(attempt_id)
+        )
+
+    async def import_cache(self, attempt_id: str, cache: bytes) -> None:
+        """Load a KV cache."""
+        await self._process.backend_call(
+            self._server, lambda: self._engine.import_cache(attempt_id, cache)
+        )
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class NetworkService:
+    """One host of a plain service as one process reaches it; implements ServiceClient."""
+
+    def __init__(self, process: Process, server: BackendServer, service: ServiceClient) -> None:
+        self._process = process
+        self._server = server
+        self._service = service
+
+    async def call(self, request: ServiceRequest) -> ServiceResponse:
+        """Send the request once."""
+        return await self._process.backend_call(self._server, lambda: self._service.call(request))
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class NetworkScoring:
+    """One host of a scoring service as one process reaches it; implements ScoringClient."""
+
+    def __init__(self, process: Process, server: BackendServer, scoring: ScoringClient) -> None:
+        self._process = process
+        self._server = server
+        self._scoring = scoring
+
+    async def score(self, request: ScoringRequest, timeout_s: float) -> ScoringResponse:
+        """Return the grade of one sample."""
+        return await self._process.backend_call(
+            self._server, lambda: self._scoring.score(request, timeout_s)
+        )
+
+    async def aclose(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class _Channel:
+    """One end of a link between two processes; implements PeerChannel."""
+
+    def __init__(self, process: Process, remote_zone: str) -> None:
+        self._process = process
+        self._remote_zone = remote_zone
+        self._inbox: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue()
+        self._closed = False
+        self.other: _Channel | None = None
+
+    async def send(self, data: bytes) -> None:
+        """Send one message; it may get lost on the way."""
+        await self._process.gate()
+        if self._closed or self.other is None or self.other._closed:
+            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
+        network = self._process.network
+        if not network.reaches(self._process.zone, self._remote_zone):
+            return
+        if network.rng.random() < network.loss_rate:
+            return
+        arrival_s = network.clock.monotonic_s() + network._delay_s(
+            self._process.zone, self._remote_zone
+        )
+        self.other._inbox.put_nowait((arrival_s, data))
+
+    async def receive(self) -> bytes:
+        """Return the next message that arrives."""
+        if self._closed:
+            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
+        arrival_s, data = await self._inbox.get()
+        clock = self._process.network.clock
+        await clock.sleep(max(0.0, arrival_s - clock.monotonic_s()))
+        await self._process.gate()
+        if data is None:
+            self._closed = True
+            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
+        return data
+
+    async def aclose(self) -> None:
+        """Close both ends."""
+        self.close()
+
+    def close(self) -> None:
+        """Close both ends without waiting."""
+        for end in (self, self.other):
+            if end is not None and not end._closed:
+                end._closed = True
+                end._inbox.put_nowait((0.0, None))
+
+
+class NetworkTransport:
+    """Links between the daemons of one process's tests; implements PeerTransport."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        self._addresses: list[str] = []
+        self._channels: set[_Channel] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, address: str, accept: Callable[[PeerChannel], Awaitable[None]]) -> str:
+        """Serve links at *address* and return the bound address."""
+        network = self._process.network
+        bound = network.new_address() if address.endswith(":0") else address
+
+        async def serve(channel: PeerChannel) -> None:
+            assert isinstance(channel, _Channel)
+            channel._process = self._process
+            self._channels.add(channel)
+            try:
+                await accept(channel)
+            finally:
+                channel.close()
+                self._channels.discard(channel)
+
+        network.listeners[bound] = (self._process.zone, serve)
+        self._addresses.append(bound)
+        return bound
+
+    async def connect(self, address: str) -> PeerChannel:
+        """Open a link to the daemon at *address*."""
+        await self._process.gate()
+        network = self._process.network
+        zone, serve = network.listeners.get(address, (None, None))
+        if zone is None or serve is None:
+            await network.clock.sleep(0.001)
+            raise PeerUnreachable(f"peer {address}: connection refused")
+        there = await network.travel(self._process.zone, zone)
+        if not there or not await network.travel(zone, self._process.zone):
+            await network.clock.sleep(_CUT_DETECTION_S)
+            raise PeerUnreachable(f"peer {address}: timed out")
+        near = _Channel(self._process, zone)
+        far = _Channel(self._process, self._process.zone)
+        near.other, far.other = far, near
+        self._channels.add(near)
+        task = asyncio.get_running_loop().create_task(serve(far))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near
+
+    async def aclose(self) -> None:
+        """Stop listening and close every link."""
+        for address in self._addresses:
+            self._process.network.listeners.pop(address, None)
+        for channel in list(self._channels):
+            channel.close()
--- /dev/null
+++ b/src/verbenawind/standins/world.py
@@ -0,0 +1,197 @@
+"""Stand-ins and daemon cores in one process, without sockets, on a virtual-time loop."""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from datetime import UTC, datetime
+from random import Random
+from typing import Any, TypeVar
+
+import async_solipsism
+
+from verbenawind.clock import LoopClock
+from verbenawind.daemon import Core
+from verbenawind.document import EnvironmentDocument, EnvironmentRevision, Stage
+from verbenawind.ids import digest_hex
+from verbenawind.kernel.messages import BackendServer, HostEntry, HostRole, Location
+from verbenawind.kernel.ports import EngineClient, Outside, ScoringClient, ServiceClient
+from verbenawind.settings import DaemonSettings
+from verbenawind.standins.engine import EngineProfile, StandinEngine
+from verbenawind.standins.network import (
+    GatedClock,
+    NetworkEngine,
+    NetworkHosts,
+    NetworkObjects,
+    NetworkScoring,
+    NetworkService,
+    NetworkTable,
+    NetworkTransport,
+    NetworkWeights,
+    Process,
+    StandinNetwork,
+)
+from verbenawind.standins.platform import (
+    StandinHostList,
+    StandinObjects,
+    StandinTable,
+    StandinWeights,
+)
+from verbenawind.standins.services import StandinScoring, StandinService
+
+__all__ = ["World", "run_virtual"]
+
+T = TypeVar("T")
+
+_EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+_PEER_KEY = "stand-in-peer-key-0123456789"
+_OPERATOR_TOKEN = "operator-token"
+
+
+def run_virtual(work: Coroutine[Any, Any, T]) -> T:
+    """Run *work* on an event loop whose time jumps to the next timer when nothing is ready."""
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        return runner.run(work)
+
+
+class World:
+    """The platform, backend servers and daemon cores of one test; make it inside a loop.
+
+    Args:
+        seed: Seed of all randomness.
+        regions: One availability zone is made for each.
+    """
+
+    def __init__(
+        self, seed: int = 1, regions: Sequence[str] = ("bangkok", "chiang-mai", "hat-yai")
+    ) -> None:
+        self.rng = Random(seed)
+        self.clock = LoopClock(_EPOCH)
+        self.locations = [Location(zone=f"{region}-a", region=region) for region in regions]
+        self.network = StandinNetwork(self.clock, self.rng, self._delay_s)
+        self.table = StandinTable(self.clock, self.rng)
+        self.objects = StandinObjects(self.clock, self.rng)
+        self.hosts = StandinHostList(self.clock, lag_s=2.0)
+        self.weights = StandinWeights()
+        self.engines: dict[str, StandinEngine] = {}
+        self.services: dict[str, StandinService] = {}
+        self.scoring: dict[str, StandinScoring] = {}
+        self.daemons: dict[str, Core] = {}
+        self.processes: dict[str, Process] = {}
+
+    def add_engine(
+        self,
+        server_id: str,
+        pool: str,
+        models: dict[str, int],
+        *,
+        zone_index: int = 0,
+        profile: EngineProfile | None = None,
+        checks_fencing: bool = True,
+    ) -> StandinEngine:
+        """Add an engine to the host list."""
+        engine = StandinEngine(
+            server_id,
+            models,
+            self.clock,
+            self.rng,
+            profile=profile,
+            checks_fencing=checks_fencing,
+        )
+        self.engines[server_id] = engine
+        self._list(server_id, HostRole.ENGINE, pool, zone_index)
+        return engine
+
+    def add_service(self, server_id: str, service: str, *, zone_index: int = 0) -> StandinService:
+        """Add a host of a plain service."""
+        self.services[server_id] = StandinService(server_id, self.clock)
+        self._list(server_id, HostRole.SERVICE, service, zone_index)
+        return self.services[server_id]
+
+    def add_scoring(self, server_id: str, service: str, *, zone_index: int = 0) -> StandinScoring:
+        """Add a host of a scoring service."""
+        self.scoring[server_id] = StandinScoring(server_id, self.clock)
+        self._list(server_id, HostRole.SCORING, service, zone_index)
+        return self.scoring[server_id]
+
+    def add_daemon(self, daemon_id: str, *, zone_index: int = 0) -> Core:
+        """Make a daemon core that is not started yet; an old one of the same name is replaced."""
+        location = self.locations[zone_index % len(self.locations)]
+        seeds = tuple(self.network.listeners)
+        settings = DaemonSettings(
+            daemon_id=daemon_id,
+            zone=location.zone,
+            region=location.region,
+            listen="127.0.0.1:0",
+            peer_listen="127.0.0.1:0",
+            peer_key=_PEER_KEY,
+            platform_url="http://127.0.0.1:1",
+            operator_token_sha256=digest_hex(_OPERATOR_TOKEN.encode()),
+            peer_seeds=seeds,
+        )
+        process = Process(self.network, location.zone)
+        core = Core(settings, self.outside(process))
+        self.daemons[daemon_id] = core
+        self.processes[daemon_id] = process
+        return core
+
+    def outside(self, process: Process) -> Outside:
+        """Return everything outside one process, as the network lets it through."""
+        return Outside(
+            clock=GatedClock(self.clock, process),
+            rng=Random(self.rng.random()),
+            table=NetworkTable(process, self.table),
+            objects=NetworkObjects(process, self.objects),
+            hosts=NetworkHosts(process, self.hosts),
+            weights=NetworkWeights(process, self.weights),
+            clients=_WorldClients(self, process),
+            transport=NetworkTransport(process),
+        )
+
+    async def accept(
+        self, document: EnvironmentDocument, stage: Stage = Stage.PRODUCTION
+    ) -> EnvironmentRevision:
+        """Accept a document at the first daemon."""
+        core = next(iter(self.daemons.values()))
+        return await core.configuration.accept(document, stage)
+
+    async def stop(self) -> None:
+        """Kill every daemon and stop the engines."""
+        for core in self.daemons.values():
+            await core.kill()
+        for engine in self.engines.values():
+            await engine.stop()
+
+    def _list(self, host_id: str, role: HostRole, group: str, zone_index: int) -> None:
+        entry = HostEntry(
+            host_id=host_id,
+            role=role,
+            group=group,
+            address=self.network.new_address(),
+            location=self.locations[zone_index % len(self.locations)],
+        )
+        self.hosts.add(entry, at_once=True)
+
+    def _delay_s(self, source: str, target: str) -> float:
+        regions = {location.zone: location.region for location in self.locations}
+        if source == target or "platform" in (source, target):
+            return 0.001
+        return 0.001 if regions.get(source) == regions.get(target) else 0.012
+
+
+class _WorldClients:
+    """Clients of a world's backend servers; implements BackendClients."""
+
+    def __init__(self, world: World, process: Process) -> None:
+        self._world = world
+        self._process = process
+
+    def engine(self, server: BackendServer) -> EngineClient:
+        """Return the client of an engine."""
+        return NetworkEngine(self._process, server, self._world.engines[server.server_id])
+
+    def service(self, server: BackendServer) -> ServiceClient:
+        """Return the client of a plain service's host."""
+        return NetworkService(self._process, server, self._world.services[server.server_id])
+
+    def scoring(self, server: BackendServer) -> ScoringClient:
+        """Return the client of a scoring service's host."""
+        return NetworkScoring(self._process, server, self._world.scoring[server.server_id])
