Thicken the operators' interface, add the command line, metrics and decision record

Cause: the thin path had only apply, show and promote, and no way to see decisions or metrics. Change: operators' HTTP (apply with expect_revision and author, diff, history, rollback, promote by digest, status, drain, explain), the verbenawind command package on absl.flags with a command registry and exit codes, class Metrics over aioprometheus, a bounded decision record fed by a structlog processor, callers indexed by token digest, JSON bodies for the framework's own errors. Found: a commit whose look-up failed was reported as not_run; it is may_have_run now. The test fails without the change to TableClient (outcome not_run).

--- a/src/verbenawind/api/__init__.py
+++ b/src/verbenawind/api/__init__.py
@@ -1,5 +1,6 @@
 """The callers' and the operators' HTTP interfaces."""
 
 from verbenawind.api.app import ApiServices, build_app
+from verbenawind.api.fleet import EXPLAIN_CALL, answer_explain_call
 
-__all__ = ["ApiServices", "build_app"]
+__all__ = ["EXPLAIN_CALL", "ApiServices", "answer_explain_call", "build_app"]
--- a/src/verbenawind/api/app.py
+++ b/src/verbenawind/api/app.py
@@ -1,34 +1,62 @@
 """Builds the daemon's HTTP application."""
 
-from collections.abc import Callable
+from typing import Any
 
-from litestar import Litestar, Response, get
+from litestar import Litestar, Request, Response, get
 from litestar.datastructures import State
+from litestar.exceptions import HTTPException
+from litestar.openapi import OpenAPIConfig
 
-from verbenawind.api import callers, operators, rollouts
-from verbenawind.api.errors import error_response
+from verbenawind.api import callers, fleet, operators, rollouts
+from verbenawind.api.errors import error_response, http_error_response, unexpected_response
 from verbenawind.api.services import ApiServices
 from verbenawind.errors import VerbenawindError
 
 __all__ = ["ApiServices", "build_app"]
 
+_API_VERSION = "1"
 
-def build_app(services: ApiServices, ready: Callable[[], bool]) -> Litestar:
-    """Return the application over *services*; ``/readyz`` answers by *ready*."""
-
-    @get("/livez")
-    async def livez() -> str:
-        """Answer while the process runs."""
-        return "ok"
-
-    @get("/readyz")
-    async def readyz() -> Response[str]:
-        """Answer 200 while the daemon takes new work."""
-        return Response("ok" if ready() else "unready", status_code=200 if ready() else 503)
 
+def build_app(services: ApiServices) -> Litestar:
+    """Return the application over *services*."""
     return Litestar(
-        [livez, readyz, *callers.HANDLERS, *rollouts.HANDLERS, *operators.HANDLERS],
-        exception_handlers={VerbenawindError: error_response},
+        [
+            livez,
+            readyz,
+            metrics,
+            *callers.HANDLERS,
+            *rollouts.HANDLERS,
+            *operators.HANDLERS,
+            *fleet.HANDLERS,
+        ],
+        exception_handlers={
+            VerbenawindError: error_response,
+            HTTPException: http_error_response,
+            Exception: unexpected_response,
+        },
         state=State({"services": services}),
         request_max_body_size=services.settings.limits.max_body_bytes,
+        openapi_config=OpenAPIConfig(title="verbenawind", version=_API_VERSION),
     )
+
+
+@get("/livez", summary="Tell whether the process runs")
+async def livez() -> str:
+    """Answer while the process runs."""
+    return "ok"
+
+
+@get("/readyz", summary="Tell whether the daemon takes new work")
+async def readyz(request: Request[Any, Any, Any]) -> Response[str]:
+    """Answer 200 while the daemon takes new work, 503 otherwise."""
+    services: ApiServices = request.app.state["services"]
+    ready = services.ready()
+    return Response("ok" if ready else "unready", status_code=200 if ready else 503)
+
+
+@get("/metrics", summary="Give the metrics to Prometheus")
+async def metrics(request: Request[Any, Any, Any]) -> Response[bytes]:
+    """Return the metrics in Prometheus's text form."""
+    services: ApiServices = request.app.state["services"]
+    content, media_type = services.metrics.render(request.headers.getall("accept", []))
+    return Response(content, media_type=media_type)
--- a/src/verbenawind/api/auth.py
+++ b/src/verbenawind/api/auth.py
@@ -9,24 +9,40 @@
 from verbenawind.errors import Unauthorized
 from verbenawind.ids import digest_hex
 
-__all__ = ["authenticate_caller", "authenticate_operator"]
+__all__ = ["CallerIndex", "authenticate_operator"]
 
 _SCHEME = "bearer "
 
 
-def authenticate_caller(
-    request: Request[Any, Any, Any], revision: EnvironmentRevision
-) -> CallerSpec:
-    """Return the caller whose token the request bears.
+class CallerIndex:
+    """Finds callers by the digest of their token, in constant time for each request."""
 
-    Raises:
-        Unauthorized: There is no token, or no caller has it.
-    """
-    digest = digest_hex(_token(request).encode())
-    for caller in revision.document.callers:
-        if hmac.compare_digest(caller.token_sha256, digest):
-            return caller
-    raise Unauthorized(f"no caller of {revision.name} has this bearer token")
+    __slots__ = ("_by_environment",)
+
+    def __init__(self) -> None:
+        self._by_environment: dict[str, tuple[str, int, dict[str, CallerSpec]]] = {}
+
+    def authenticate(
+        self, request: Request[Any, Any, Any], revision: EnvironmentRevision
+    ) -> CallerSpec:
+        """Return the caller whose token the request bears.
+
+        Raises:
+            Unauthorized: There is no token, or no caller has it.
+        """
+        digest = digest_hex(_token(request).encode())
+        caller = self._callers(revision).get(digest)
+        if caller is None:
+            raise Unauthorized(f"no caller of {revision.name} has this bearer token")
+        return caller
+
+    def _callers(self, revision: EnvironmentRevision) -> dict[str, CallerSpec]:
+        kept = self._by_environment.get(revision.name)
+        if kept is not None and kept[:2] == (revision.digest, revision.revision):
+            return kept[2]
+        callers = {caller.token_sha256: caller for caller in revision.document.callers}
+        self._by_environment[revision.name] = (revision.digest, revision.revision, callers)
+        return callers
 
 
 def authenticate_operator(request: Request[Any, Any, Any], token_sha256: str) -> None:
--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -1,10 +1,13 @@
 """Error answers: a JSON body with code, outcome and when to retry."""
 
 from functools import singledispatch
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
+import structlog
 from litestar import Request, Response
+from litestar.exceptions import HTTPException
 
 from verbenawind.errors import (
     ConditionFailed,
@@ -20,16 +23,26 @@
     Overloaded,
     RateLimited,
     RequestConvicted,
+    RequestTooSlow,
     RevisionConflict,
     StepConflict,
     StoreUnavailable,
+    TooLarge,
     Unauthorized,
     UnknownEnvironment,
     UnknownResource,
     VerbenawindError,
 )
 
-__all__ = ["ErrorAnswer", "ErrorDetail", "error_answer", "error_response", "http_status"]
+__all__ = [
+    "ErrorAnswer",
+    "ErrorDetail",
+    "error_answer",
+    "error_response",
+    "http_error_response",
+    "http_status",
+    "unexpected_response",
+]
 
 
 class ErrorDetail(msgspec.Struct, omit_defaults=True):
@@ -41,6 +54,8 @@
     outcome: Outcome
     retry_after_s: float | None = None
     faults: tuple[str, ...] = ()
+    current_revision: int | None = None
+    difference: tuple[str, ...] = ()
 
 
 class ErrorAnswer(msgspec.Struct):
@@ -61,6 +76,16 @@
     return 400
 
 
+@http_status.register
+def _(_: RequestTooSlow) -> int:
+    return 408
+
+
+@http_status.register
+def _(_: TooLarge) -> int:
+    return 413
+
+
 @http_status.register
 def _(_: Unauthorized) -> int:
     return 401
@@ -112,17 +137,19 @@
 def error_answer(error: VerbenawindError) -> ErrorAnswer:
     """Return the body that tells of *error*."""
     kind = "invalid_request_error" if http_status(error) < 500 else "server_error"
-    faults = error.faults if isinstance(error, DocumentInvalid) else ()
-    return ErrorAnswer(
-        ErrorDetail(
-            message=error.message,
-            code=error.code,
-            type=kind,
-            outcome=error.outcome,
-            retry_after_s=error.retry_after_s,
-            faults=faults,
-        )
+    detail = ErrorDetail(
+        message=error.message,
+        code=error.code,
+        type=kind,
+        outcome=error.outcome,
+        retry_after_s=error.retry_after_s,
     )
+    if isinstance(error, DocumentInvalid):
+        detail.faults = error.faults
+    if isinstance(error, RevisionConflict):
+        detail.current_revision = error.current_revision
+        detail.difference = tuple(error.difference.splitlines())
+    return ErrorAnswer(detail)
 
 
 def error_response(_: Request[Any, Any, Any], error: VerbenawindError) -> Response[bytes]:
@@ -130,9 +157,40 @@
     headers = {}
     if error.retry_after_s is not None:
         headers["retry-after"] = str(max(1, round(error.retry_after_s)))
+    if isinstance(error, RequestTooSlow | TooLarge):
+        headers["connection"] = "close"
     return Response(
         msgspec.json.encode(error_answer(error)),
         status_code=http_status(error),
         headers=headers,
         media_type="application/json",
     )
+
+
+def http_error_response(request: Request[Any, Any, Any], error: HTTPException) -> Response[bytes]:
+    """Return the JSON answer to an error of the HTTP framework, such as an unknown path."""
+    answer = error_response(request, _framework_error(request, error))
+    answer.status_code = error.status_code
+    if error.headers:
+        answer.headers.update(error.headers)
+    return answer
+
+
+def unexpected_response(request: Request[Any, Any, Any], error: Exception) -> Response[bytes]:
+    """Return the answer to a fault of the program itself, which is logged whole."""
+    structlog.get_logger("api").error("unexpected_error", path=request.url.path, exc_info=error)
+    return error_response(
+        request,
+        VerbenawindError("unexpected error; see the daemon's log", outcome=Outcome.MAY_HAVE_RUN),
+    )
+
+
+def _framework_error(request: Request[Any, Any, Any], error: HTTPException) -> VerbenawindError:
+    what = f"{request.method} {request.url.path}"
+    if error.status_code == HTTPStatus.NOT_FOUND:
+        return UnknownResource(f"{what}: there is no such path")
+    if error.status_code == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        return TooLarge(f"{what}: the body is larger than the daemon's max_body_bytes")
+    if error.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return InvalidRequest(f"{what}: {error.detail}")
+    return VerbenawindError(f"{what}: {error.detail}", outcome=Outcome.MAY_HAVE_RUN)
--- a/src/verbenawind/api/services.py
+++ b/src/verbenawind/api/services.py
@@ -1,18 +1,23 @@
 """What the HTTP handlers work with."""
 
+from collections.abc import Callable
+from datetime import datetime
 from typing import Any
 
 from litestar import Request
 
-from verbenawind.api.auth import authenticate_caller
+from verbenawind.api.auth import CallerIndex, authenticate_operator
 from verbenawind.clock import Clock
+from verbenawind.decisions import DecisionRecord
 from verbenawind.document import CallerSpec, EnvironmentRevision
 from verbenawind.errors import UnknownEnvironment
-from verbenawind.kernel.ports import Generator, RolloutService, ServiceCaller
+from verbenawind.kernel import Fleet
+from verbenawind.kernel.ports import Generator, PeerBus, RolloutService, ServiceCaller
+from verbenawind.metrics import Metrics
 from verbenawind.settings import DaemonSettings
 from verbenawind.state import ConfigurationStore
 
-__all__ = ["ApiServices", "caller_of"]
+__all__ = ["ApiServices", "caller_of", "operator_services"]
 
 
 class ApiServices:
@@ -24,13 +29,25 @@
         generator: Runs generations.
         service_caller: Routes calls to plain services.
         rollouts: The trainer's side.
+        fleet: The view of the backend servers.
+        peers: The other daemons.
+        decisions: The latest decision lines.
+        metrics: The daemon's metrics.
         clock: Time source.
+        ready: Tells whether the daemon takes new work.
     """
 
     __slots__ = (
+        "_callers",
+        "_since",
         "clock",
         "configuration",
+        "decisions",
+        "fleet",
         "generator",
+        "metrics",
+        "peers",
+        "ready",
         "rollouts",
         "service_caller",
         "settings",
@@ -44,14 +61,39 @@
         generator: Generator,
         service_caller: ServiceCaller,
         rollouts: RolloutService,
+        fleet: Fleet,
+        peers: PeerBus,
+        decisions: DecisionRecord,
+        metrics: Metrics,
         clock: Clock,
+        ready: Callable[[], bool],
     ) -> None:
         self.settings = settings
         self.configuration = configuration
         self.generator = generator
         self.service_caller = service_caller
         self.rollouts = rollouts
+        self.fleet = fleet
+        self.peers = peers
+        self.decisions = decisions
+        self.metrics = metrics
         self.clock = clock
+        self.ready = ready
+        self._callers = CallerIndex()
+        self._since: dict[str, tuple[int, datetime]] = {}
+        configuration.subscribe(self._note_since)
+
+    def caller(self, request: Request[Any, Any, Any], revision: EnvironmentRevision) -> CallerSpec:
+        """Return the caller of a request; raises Unauthorized."""
+        return self._callers.authenticate(request, revision)
+
+    def configuration_since(self, revision: EnvironmentRevision) -> datetime | None:
+        """Return when a revision came into force on this daemon, None when that is unknown."""
+        number, since = self._since.get(revision.name, (0, None))
+        return since if number == revision.revision else None
+
+    def _note_since(self, revision: EnvironmentRevision) -> None:
+        self._since[revision.name] = (revision.revision, self.clock.now())
 
 
 def caller_of(
@@ -67,4 +109,15 @@
     revision = services.configuration.current(environment, stage)
     if revision is None:
         raise UnknownEnvironment(f"environment {environment!r} has no stage {stage!r} in force")
-    return services, revision, authenticate_caller(request, revision)
+    return services, revision, services.caller(request, revision)
+
+
+def operator_services(request: Request[Any, Any, Any]) -> ApiServices:
+    """Return the services to an operator.
+
+    Raises:
+        Unauthorized: The request does not bear the operators' token.
+    """
+    services: ApiServices = request.app.state["services"]
+    authenticate_operator(request, services.settings.operator_token_sha256)
+    return services
--- /dev/null
+++ b/src/verbenawind/cli/__init__.py
@@ -0,0 +1,6 @@
+"""The operators' command line ``verbenawind``."""
+
+from verbenawind.cli.exit_codes import ExitCode
+from verbenawind.cli.main import main, run
+
+__all__ = ["ExitCode", "main", "run"]
--- /dev/null
+++ b/src/verbenawind/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line as ``python -m verbenawind.cli``."""
+
+from verbenawind.cli.main import run
+
+if __name__ == "__main__":
+    run()
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import signal
+from functools import partial
 from random import Random
 
 import structlog
 from absl import app as absl_app
 from absl import flags
 
-from verbenawind.api import ApiServices, build_app
+from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
+from verbenawind.decisions import DecisionRecord, record_decisions_in
 from verbenawind.errors import StoreUnavailable
 from verbenawind.http_server import HttpServer
 from verbenawind.kernel import Fleet
@@ -17,6 +19,7 @@
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
 from verbenawind.membership import LonePeerBus
+from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
 from verbenawind.plugins.platform_http import (
@@ -50,6 +53,8 @@
         clock, rng = outside.clock, outside.rng
         self.settings = settings
         self.outside = outside
+        self.metrics = Metrics()
+        self.decisions = DecisionRecord(settings.limits.max_explained_requests)
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
@@ -133,11 +138,17 @@
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            fleet=self.core.fleet,
+            peers=self.core.peers,
+            decisions=self.core.decisions,
+            metrics=self.core.metrics,
             clock=outside.clock,
+            ready=lambda: self.core.ready,
         )
+        self.core.peers.on_call(EXPLAIN_CALL, partial(answer_explain_call, services))
         host, _, port = settings.listen.rpartition(":")
         self._server = HttpServer(
-            build_app(services, lambda: self.core.ready),
+            build_app(services),
             host,
             int(port),
             max_connections=settings.limits.max_connections,
@@ -150,6 +161,7 @@
 
     async def start(self) -> None:
         """Start the core, then serve."""
+        record_decisions_in(self.core.decisions)
         await self.core.start()
         await self._server.start()
 
--- /dev/null
+++ b/src/verbenawind/decisions.py
@@ -0,0 +1,57 @@
+"""A bounded record of the latest decision lines, by request, for ``explain``."""
+
+from collections import OrderedDict
+from collections.abc import MutableMapping, Sequence
+from contextvars import ContextVar
+from typing import Any
+
+import msgspec
+
+__all__ = ["DecisionRecord", "keep_decisions", "record_decisions_in"]
+
+_MAX_LINES_PER_REQUEST = 64
+_RECORD: ContextVar["DecisionRecord | None"] = ContextVar("decision_record", default=None)
+
+
+class DecisionRecord:
+    """Keeps the log lines of the latest requests; the oldest request is dropped first.
+
+    Args:
+        max_requests: How many requests are kept.
+    """
+
+    __slots__ = ("_lines", "_max_requests")
+
+    def __init__(self, max_requests: int) -> None:
+        self._max_requests = max_requests
+        self._lines: OrderedDict[str, list[bytes]] = OrderedDict()
+
+    def add(self, request_id: str, line: MutableMapping[str, Any]) -> None:
+        """Keep one line of a request."""
+        lines = self._lines.get(request_id)
+        if lines is None:
+            lines = self._lines[request_id] = []
+            if len(self._lines) > self._max_requests:
+                self._lines.popitem(last=False)
+        if len(lines) < _MAX_LINES_PER_REQUEST:
+            lines.append(msgspec.json.encode(line, enc_hook=str))
+
+    def lines(self, request_id: str) -> Sequence[dict[str, Any]]:
+        """Return the kept lines of a request, oldest first."""
+        return [msgspec.json.decode(line) for line in self._lines.get(request_id, ())]
+
+
+def record_decisions_in(record: DecisionRecord) -> None:
+    """Keep the lines of the current context, and of tasks it starts from now on, in *record*."""
+    _RECORD.set(record)
+
+
+def keep_decisions(
+    _logger: Any, _method: str, line: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Keep each line that names a request; a structlog processor."""
+    record = _RECORD.get()
+    request_id = line.get("request_id")
+    if record is not None and isinstance(request_id, str):
+        record.add(request_id, line)
+    return line
--- a/src/verbenawind/document/__init__.py
+++ b/src/verbenawind/document/__init__.py
@@ -1,5 +1,6 @@
 """The environment document: its types, its reader and its checks."""
 
+from verbenawind.document.difference import Change, document_difference
 from verbenawind.document.loading import canonical_bytes, document_digest, parse_document
 from verbenawind.document.types import (
     CallerKind,
@@ -22,6 +23,7 @@
 __all__ = [
     "CallerKind",
     "CallerSpec",
+    "Change",
     "CrossRegionSpec",
     "Delivery",
     "EnvironmentDocument",
@@ -36,6 +38,7 @@
     "SwapPolicy",
     "TrainerSpec",
     "canonical_bytes",
+    "document_difference",
     "document_digest",
     "parse_document",
 ]
--- /dev/null
+++ b/src/verbenawind/document/difference.py
@@ -0,0 +1,56 @@
+"""The difference between two documents, field by field."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from verbenawind.document.loading import canonical_bytes
+from verbenawind.document.types import EnvironmentDocument
+
+__all__ = ["Change", "document_difference"]
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """One field that differs; a side on which it is absent is None."""
+
+    path: str
+    before: str | None
+    after: str | None
+
+    def __str__(self) -> str:
+        if self.before is None:
+            return f"+ {self.path}: {self.after}"
+        if self.after is None:
+            return f"- {self.path}: {self.before}"
+        return f"~ {self.path}: {self.before} -> {self.after}"
+
+
+def document_difference(
+    before: EnvironmentDocument | None, after: EnvironmentDocument | None
+) -> tuple[Change, ...]:
+    """Return every field that differs, in order of path; parts are matched by their names."""
+    old, new = _fields(before), _fields(after)
+    return tuple(
+        Change(path=path, before=old.get(path), after=new.get(path))
+        for path in sorted(old.keys() | new.keys())
+        if old.get(path) != new.get(path)
+    )
+
+
+def _fields(document: EnvironmentDocument | None) -> dict[str, str]:
+    if document is None:
+        return {}
+    return dict(_leaves(msgspec.json.decode(canonical_bytes(document)), "$"))
+
+
+def _leaves(value: Any, path: str) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for name, item in value.items():
+            yield from _leaves(item, f"{path}.{name}")
+    elif isinstance(value, list) and value and isinstance(value[0], dict):
+        for index, item in enumerate(value):
+            label = item.get("name") or item.get("path_prefix") or index
+            yield from _leaves(item, f"{path}[{label}]")
+    else:
+        yield path, msgspec.json.encode(value).decode()
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -26,11 +26,13 @@
     "PeerUnreachable",
     "RateLimited",
     "RequestConvicted",
+    "RequestTooSlow",
     "RevisionConflict",
     "SettingsInvalid",
     "StepConflict",
     "StoreUnavailable",
     "StreamTruncated",
+    "TooLarge",
     "Unauthorized",
     "UnknownEnvironment",
     "UnknownResource",
@@ -137,6 +139,18 @@
     code = "invalid_request"
 
 
+class RequestTooSlow(InvalidRequest):
+    """Raised when a request's body did not arrive in time."""
+
+    code = "request_timeout"
+
+
+class TooLarge(InvalidRequest):
+    """Raised when a body or the headers of a request exceed their limit."""
+
+    code = "too_large"
+
+
 class RateLimited(VerbenawindError):
     """Raised when a caller exceeds its own rate or concurrency limit."""
 
@@ -234,7 +248,8 @@
     def __init__(
         self, message: str, *, effect_possible: bool, retry_after_s: float | None = None
     ) -> None:
-        super().__init__(message, retry_after_s=retry_after_s)
+        outcome = Outcome.MAY_HAVE_RUN if effect_possible else Outcome.NOT_RUN
+        super().__init__(message, outcome=outcome, retry_after_s=retry_after_s)
         self.effect_possible = effect_possible
 
 
--- a/src/verbenawind/logs.py
+++ b/src/verbenawind/logs.py
@@ -2,14 +2,22 @@
 
 import logging
 import sys
+from collections.abc import MutableMapping
+from typing import Any
 
 import structlog
 
+from verbenawind.decisions import keep_decisions
+
 __all__ = ["configure_logs"]
 
 
 def configure_logs(level: str, **context: str) -> None:
-    """Write log lines of *level* and above to standard error, each with *context*."""
+    """Write log lines of *level* and above to standard error, each with *context*.
+
+    Lines of level info are kept for ``explain`` even where *level* writes fewer.
+    """
+    threshold = logging.getLevelNamesMapping()[level.upper()]
     renderer: structlog.typing.Processor
     if sys.stderr.isatty():
         renderer = structlog.dev.ConsoleRenderer()
@@ -20,12 +28,29 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            keep_decisions,
+            _LevelFilter(threshold),
             structlog.processors.format_exc_info,
             renderer,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(
-            logging.getLevelNamesMapping()[level.upper()]
-        ),
+        wrapper_class=structlog.make_filtering_bound_logger(min(threshold, logging.INFO)),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(**context)
+
+
+class _LevelFilter:
+    """Drops lines below a level; a structlog processor."""
+
+    __slots__ = ("_threshold",)
+
+    def __init__(self, threshold: int) -> None:
+        self._threshold = threshold
+
+    def __call__(
+        self, _logger: Any, _method: str, line: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Return the line, or drop it."""
+        if logging.getLevelNamesMapping()[str(line["level"]).upper()] < self._threshold:
+            raise structlog.DropEvent
+        return line
--- /dev/null
+++ b/src/verbenawind/metrics.py
@@ -0,0 +1,109 @@
+"""The daemon's metrics, one typed method for each thing that is measured."""
+
+from collections.abc import Sequence
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics"]
+
+_WAIT_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 2.0, 10.0, 60.0]
+_AGE_BUCKETS_S = [1.0, 5.0, 15.0, 60.0, 180.0, 600.0]
+_VERSION_BUCKETS = [0.0, 1.0, 2.0, 3.0, 5.0, 8.0]
+
+
+class Metrics:
+    """Counts and times what a daemon does; rendered at ``/metrics``.
+
+    Environments are named ``name/stage`` throughout.
+    """
+
+    __slots__ = (
+        "_cross_region_bytes",
+        "_queue_wait",
+        "_refusals",
+        "_registry",
+        "_request_time",
+        "_requests",
+        "_samples",
+        "_staleness_s",
+        "_staleness_versions",
+        "_trainer_idle",
+        "_values",
+    )
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._values: dict[str, Gauge] = {}
+        self._trainer_idle = self._counter(
+            "trainer_idle_seconds_total", "Time for which trainers waited in a poll."
+        )
+        self._samples = self._counter("samples_delivered_total", "Samples delivered to trainers.")
+        self._staleness_versions = self._histogram(
+            "sample_staleness_versions", "Age of delivered samples in versions.", _VERSION_BUCKETS
+        )
+        self._staleness_s = self._histogram(
+            "sample_staleness_seconds", "Age of delivered samples in seconds.", _AGE_BUCKETS_S
+        )
+        self._queue_wait = self._histogram(
+            "queue_wait_seconds", "Wait between arrival and dispatch.", _WAIT_BUCKETS_S
+        )
+        self._refusals = self._counter("refusals_total", "Requests refused, by error code.")
+        self._cross_region_bytes = self._counter(
+            "cross_region_bytes_total", "Bytes exchanged with another region."
+        )
+        self._requests = self._counter("requests_total", "Requests by operation and outcome.")
+        self._request_time = self._histogram(
+            "request_seconds", "Time from arrival to the answer's end.", _WAIT_BUCKETS_S
+        )
+
+    def add_trainer_idle(self, environment: str, trainer: str, idle_s: float) -> None:
+        """Add time for which a trainer had to wait for samples."""
+        self._trainer_idle.add({"environment": environment, "trainer": trainer}, max(0.0, idle_s))
+
+    def observe_sample(
+        self, environment: str, trainer: str, *, staleness_versions: int, age_s: float | None = None
+    ) -> None:
+        """Record the staleness of one delivered sample; ``age_s`` where it is known."""
+        labels = {"environment": environment, "trainer": trainer}
+        self._samples.inc(labels)
+        self._staleness_versions.add(labels, float(staleness_versions))
+        if age_s is not None:
+            self._staleness_s.add(labels, max(0.0, age_s))
+
+    def observe_queue_wait(self, environment: str, kind: str, wait_s: float) -> None:
+        """Record how long a request of one kind of work waited for dispatch."""
+        self._queue_wait.add({"environment": environment, "kind": kind}, max(0.0, wait_s))
+
+    def count_refusal(self, code: str) -> None:
+        """Count a request that was refused with an error code."""
+        self._refusals.inc({"code": code})
+
+    def add_cross_region_bytes(self, from_region: str, to_region: str, size_bytes: int) -> None:
+        """Count bytes between two regions; nothing is counted within one."""
+        if from_region != to_region:
+            self._cross_region_bytes.add({"from": from_region, "to": to_region}, size_bytes)
+
+    def count_request(self, operation: str, outcome: str, duration_s: float) -> None:
+        """Count one finished request; the outcome is ``ok`` or what is known of its failure."""
+        self._requests.inc({"operation": operation, "outcome": outcome})
+        self._request_time.add({"operation": operation}, max(0.0, duration_s))
+
+    def set_value(self, name: str, help_text: str, value: float, **labels: str) -> None:
+        """Set a gauge called *name*, which is made on first use."""
+        gauge = self._values.get(name)
+        if gauge is None:
+            gauge = Gauge(f"verbenawind_{name}", help_text, registry=self._registry)
+            self._values[name] = gauge
+        gauge.set(labels, value)
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, str]:
+        """Return the exposition for the given Accept headers and its content type."""
+        content, headers = render(self._registry, list(accepts))
+        return content, str(headers["Content-Type"])
+
+    def _counter(self, name: str, help_text: str) -> Counter:
+        return Counter(f"verbenawind_{name}", help_text, registry=self._registry)
+
+    def _histogram(self, name: str, help_text: str, buckets: list[float]) -> Histogram:
+        return Histogram(f"verbenawind_{name}", help_text, buckets=buckets, registry=self._registry)
--- a/src/verbenawind/settings.py
+++ b/src/verbenawind/settings.py
@@ -29,6 +29,7 @@
     max_body_bytes: PositiveInt = 16 * 1024 * 1024
     max_connections: PositiveInt = 4096
     max_queued_requests: PositiveInt = 20_000
+    max_explained_requests: PositiveInt = 8192
 
 
 class DaemonSettings(_Settings, frozen=True, kw_only=True):
--- a/src/verbenawind/state/clients.py
+++ b/src/verbenawind/state/clients.py
@@ -79,7 +79,12 @@
 
     async def _took_effect(self, transaction: Transaction) -> bool:
         keys = [write.key for write in transaction.writes if write.value is not None]
-        rows = await self.read(keys)
+        try:
+            rows = await self.read(keys)
+        except StoreUnavailable as error:
+            raise StoreUnavailable(
+                f"commit {transaction.operation_id} could not be looked up", effect_possible=True
+            ) from error
         return any(row.operation_id == transaction.operation_id for row in rows.values())
 
     async def _back_off(self, attempt: int) -> None:
