Run non-idempotent service requests at most once

Cause: call_service sent non-idempotent requests without any record, so a repeat ran again. Change: the key is claimed in the table before dispatch, outcomes are recorded, repeats join, get the record or may_have_run. Idempotent calls are retried within a budget with full jitter. Service calls wait in a fair queue that sheds early with a true not_run. Ruled out: taking a lapsed claim over by time; a paused holder could still dispatch. Proof: tests/routing/test_services.py.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -26,7 +26,7 @@
     HttpWeightStore,
 )
 from verbenawind.rollout import Rollouts
-from verbenawind.routing import Dispatcher
+from verbenawind.routing import Dispatcher, WaitPolicy
 from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
@@ -56,7 +56,16 @@
         self.leases = LeaseManager(self.table, clock, settings.daemon_id)
         self.peers = LonePeerBus(settings.daemon_id)
         self.configuration = ConfigurationStore(self.table, clock)
-        self.dispatcher = Dispatcher(self.fleet, outside.clients, clock)
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clients=outside.clients,
+            clock=clock,
+            rng=rng,
+            table=self.table,
+            objects=self.objects,
+            peers=self.peers,
+            policy=WaitPolicy(max_queued=settings.limits.max_queued_requests),
+        )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
         self.rollouts = Rollouts(
             table=self.table,
--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from random import Random
 
 import structlog
 
@@ -12,9 +13,7 @@
     BackendServerFailed,
     BackendServerUnreachable,
     DeadlineExceeded,
-    NoBackendServer,
     Outcome,
-    OutcomeUnknown,
     StreamTruncated,
 )
 from verbenawind.ids import new_id
@@ -30,8 +29,10 @@
     TokensGenerated,
     WorkKind,
 )
-from verbenawind.kernel.ports import BackendClients
+from verbenawind.kernel.ports import BackendClients, ObjectStore, PeerBus, TableStore
 from verbenawind.routing.choice import choose_engine
+from verbenawind.routing.services import ServiceDispatcher
+from verbenawind.routing.slots import WaitPolicy
 
 __all__ = ["Dispatcher"]
 
@@ -47,16 +48,42 @@
         fleet: The view of the backend servers.
         clients: Clients of the backend servers.
         clock: Time source.
+        rng: Jitter and choices.
+        table: The table service's client.
+        objects: The object store's client.
+        peers: The other daemons.
+        policy: Bounds on what may wait.
     """
 
-    __slots__ = ("_clients", "_clock", "_fleet", "_in_flight", "_log")
-
-    def __init__(self, fleet: Fleet, clients: BackendClients, clock: Clock) -> None:
+    __slots__ = ("_clients", "_clock", "_fleet", "_in_flight", "_log", "services")
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clients: BackendClients,
+        clock: Clock,
+        rng: Random,
+        table: TableStore,
+        objects: ObjectStore,
+        peers: PeerBus,
+        policy: WaitPolicy,
+    ) -> None:
         self._fleet = fleet
         self._clients = clients
         self._clock = clock
         self._in_flight: dict[str, int] = {}
         self._log = structlog.get_logger("routing")
+        self.services = ServiceDispatcher(
+            fleet=fleet,
+            clients=clients,
+            clock=clock,
+            rng=rng,
+            table=table,
+            objects=objects,
+            peers=peers,
+            policy=policy,
+        )
 
     def free_slots(self, pool: str) -> int:
         """Return how many more rollout generations the pool would start at once."""
@@ -90,20 +117,8 @@
                 )
 
     async def call_service(self, request: ServiceRequest, spec: ServiceSpec) -> ServiceResponse:
-        """Call a plain service; only idempotent calls are tried on another host."""
-        now_s = self._clock.monotonic_s()
-        views = [
-            view for view in self._fleet.group(BackendKind.SERVICE, spec.name) if view.usable(now_s)
-        ]
-        for view in sorted(views, key=self._distance):
-            try:
-                return await self._clients.service(view.server).call(request)
-            except (AdmissionRefused, BackendServerUnreachable):
-                self._fleet.suspect(view.server.server_id, _SUSPECT_S)
-            except BackendServerFailed as error:
-                if not request.idempotent:
-                    raise OutcomeUnknown(error.message) from error
-        raise NoBackendServer(f"no host of service {spec.name!r} took the request")
+        """Call a plain service; a non-idempotent request runs at most once."""
+        return await self.services.call(request, spec)
 
     async def _choose(self, request: GenerateRequest, excluded: set[str]) -> ServerView:
         while True:
@@ -186,7 +201,3 @@
             and request.kind is WorkKind.ROLLOUT
         ):
             raise BackendServerFailed(f"attempt {attempt.attempt_id} has tokens without a version")
-
-    def _distance(self, view: ServerView) -> tuple[bool, bool, str]:
-        location, own = view.server.location, self._fleet.location
-        return location.region != own.region, location.zone != own.zone, view.server.server_id
--- /dev/null
+++ b/tests/routing/test_services.py
@@ -0,0 +1,309 @@
+"""Tests of calls to plain services: idempotent retries and requests at most once."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from verbenawind.daemon import Core
+from verbenawind.document import RouteSpec, ServiceSpec
+from verbenawind.errors import (
+    DeadlineExceeded,
+    IdempotencyKeyReused,
+    InvalidRequest,
+    NoBackendServer,
+    Outcome,
+    OutcomeUnknown,
+    StoreUnavailable,
+    VerbenawindError,
+)
+from verbenawind.kernel.messages import ServiceRequest, ServiceResponse
+from verbenawind.routing.claims import Claims
+from verbenawind.standins.world import World, run_virtual
+
+SPEC = ServiceSpec(name="orders", routes=(RouteSpec(path_prefix="/book", idempotent=False),))
+
+
+def booking(
+    core: Core,
+    key: str | None = "k1",
+    body: bytes = b"razors",
+    *,
+    idempotent: bool = False,
+    timeout_s: float = 5.0,
+) -> ServiceRequest:
+    """Return a request to book something."""
+    return ServiceRequest(
+        request_id="req-1",
+        environment="kallioniemi/production",
+        caller="desk",
+        service="orders",
+        method="POST",
+        path="/book",
+        query="",
+        headers={},
+        body=body,
+        deadline_s=core.outside.clock.monotonic_s() + timeout_s,
+        idempotent=idempotent,
+        idempotency_key=key,
+    )
+
+
+async def start(world: World, hosts: int = 2, daemons: int = 2) -> list[Core]:
+    """Start daemons over hosts of the service."""
+    for index in range(hosts):
+        world.add_service(f"orders-{index}", "orders")
+    cores = [world.add_daemon(f"daemon-{index}") for index in range(daemons)]
+    for core in cores:
+        await core.start()
+    return cores
+
+
+def runs(world: World, key: str = "k1") -> int:
+    """Return how often the booking ran on any host."""
+    return sum(service.runs[key] for service in world.services.values())
+
+
+def scenario(work: Callable[[World], Awaitable[Any]]) -> Any:
+    """Run *work* in a fresh world on virtual time."""
+
+    async def whole() -> Any:
+        world = World(seed=3)
+        try:
+            return await work(world)
+        finally:
+            await world.stop()
+
+    return run_virtual(whole())
+
+
+async def outcome(awaitable: Awaitable[ServiceResponse]) -> ServiceResponse | VerbenawindError:
+    """Return the answer or the error."""
+    try:
+        return await awaitable
+    except VerbenawindError as error:
+        return error
+
+
+class TestIdempotent:
+    def test_failed_host_is_retried_elsewhere(self) -> None:
+        """An idempotent call whose host dropped the connection is answered by another host."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            world.services["orders-0"].lose_next_answers = 1
+            answer = await cores[0].dispatcher.call_service(
+                booking(cores[0], idempotent=True), SPEC
+            )
+            assert answer.status == 200
+            assert runs(world) == 2
+
+        scenario(work)
+
+    def test_retries_end_with_the_budget(self) -> None:
+        """While every host is away, retries stop at the deadline with a true outcome."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.unreachable = True
+            error = await outcome(
+                cores[0].dispatcher.call_service(booking(cores[0], idempotent=True), SPEC)
+            )
+            assert isinstance(error, VerbenawindError)
+            assert error.outcome is Outcome.NOT_RUN or isinstance(error, DeadlineExceeded)
+
+        scenario(work)
+
+
+class TestAtMostOnce:
+    def test_key_is_required(self) -> None:
+        """A non-idempotent request without a key is refused as not run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            with pytest.raises(InvalidRequest) as caught:
+                await cores[0].dispatcher.call_service(booking(cores[0], None), SPEC)
+            assert caught.value.outcome is Outcome.NOT_RUN
+
+        scenario(work)
+
+    def test_repeat_gets_recorded_answer_at_any_daemon(self) -> None:
+        """Repeats at the same and at another daemon return the first answer without a run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            first = await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            again = await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            other = await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert first.body == again.body == other.body
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_large_answer_is_recorded_whole(self) -> None:
+        """An answer too large for a row comes back whole at another daemon."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            body = b"x" * 20_000
+            first = await cores[0].dispatcher.call_service(booking(cores[0], body=body), SPEC)
+            other = await cores[1].dispatcher.call_service(booking(cores[1], body=body), SPEC)
+            assert first.body == other.body and len(first.body) > 20_000
+            assert max(len(row.value) for row in world.table.rows.values()) < 5_000
+
+        scenario(work)
+
+    def test_concurrent_repeats_run_once(self) -> None:
+        """Repeats that come while the request runs, here and elsewhere, join it."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.answer_s = 1.0
+            answers = await asyncio.gather(
+                *(core.dispatcher.call_service(booking(core), SPEC) for core in cores * 3)
+            )
+            assert len({answer.body for answer in answers}) == 1
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_other_body_is_refused(self) -> None:
+        """Another body under the same key is refused at both daemons and does not run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            for core in cores:
+                with pytest.raises(IdempotencyKeyReused):
+                    await core.dispatcher.call_service(booking(core, body=b"capes"), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_lost_service_answer_is_never_sent_again(self) -> None:
+        """After a dropped connection the caller and every repeat get may_have_run at once."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.lose_next_answers = 1
+            for core in (cores[0], cores[0], cores[1]):
+                with pytest.raises(OutcomeUnknown) as caught:
+                    await core.dispatcher.call_service(booking(core), SPEC)
+                assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_absent_table_refuses_as_not_run(self) -> None:
+        """With the table down nothing is dispatched, and the key works once it is back."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            world.table.faults.down = True
+            with pytest.raises(StoreUnavailable) as caught:
+                await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            assert caught.value.outcome is Outcome.NOT_RUN
+            assert runs(world) == 0
+            world.table.faults.down = False
+            await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    @pytest.mark.parametrize("lost", [1, 2, 3])
+    def test_lost_claim_answer_is_resolved(self, lost: int) -> None:
+        """A claim whose answer was lost is read back, and the request runs once."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            world.table.faults.lose_next_answers = lost
+            await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_unresolved_claim_is_not_dispatched(self) -> None:
+        """A claim that stays unresolved is refused as not run; its holder may claim it later."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            world.table.faults.lose_answer_rate = 1.0
+            with pytest.raises(StoreUnavailable) as caught:
+                await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            assert caught.value.outcome is Outcome.NOT_RUN
+            assert runs(world) == 0
+            world.table.faults.lose_answer_rate = 0.0
+            await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_crash_after_claim_makes_repeats_unknown(self) -> None:
+        """A repeat of a key whose holder died between claim and outcome gets may_have_run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            claims = Claims(cores[0].table, cores[0].objects, world.clock, "daemon-9")
+            await claims.claim(booking(cores[0], timeout_s=1.0), "claim-x")
+            with pytest.raises(OutcomeUnknown):
+                await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert runs(world) == 0
+
+        scenario(work)
+
+    def test_unreachable_hosts_leave_the_key_free(self) -> None:
+        """When no host took a byte the refusal is not_run, and a repeat elsewhere may run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.unreachable = True
+            with pytest.raises(NoBackendServer) as caught:
+                await cores[0].dispatcher.call_service(booking(cores[0]), SPEC)
+            assert caught.value.outcome is Outcome.NOT_RUN
+            for service in world.services.values():
+                service.unreachable = False
+            await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_caller_that_leaves_does_not_lose_the_outcome(self) -> None:
+        """A request whose caller went away while it ran is recorded for its repeat."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.answer_s = 1.0
+            call = asyncio.ensure_future(cores[0].dispatcher.call_service(booking(cores[0]), SPEC))
+            await asyncio.sleep(0.5)
+            call.cancel()
+            await asyncio.sleep(1.0)
+            await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert runs(world) == 1
+
+        scenario(work)
+
+    def test_outcome_is_recorded_after_the_table_returns(self) -> None:
+        """An outcome that could not be written at first is written when the table is back."""
+
+        async def work(world: World) -> None:
+            cores = await start(world)
+            for service in world.services.values():
+                service.answer_s = 0.5
+            call = asyncio.ensure_future(cores[0].dispatcher.call_service(booking(cores[0]), SPEC))
+            await asyncio.sleep(0.2)
+            world.table.faults.down = True
+            first = await call
+            world.table.faults.down = False
+            await cores[0].dispatcher.services.finish()
+            other = await cores[1].dispatcher.call_service(booking(cores[1]), SPEC)
+            assert first.body == other.body
+            assert runs(world) == 1
+
+        scenario(work)
