--- a/tests/api/test_operators.py
+++ b/tests/api/test_operators.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from loopback import APPLICATION_TOKEN, DOCUMENT_TEXT, OPERATOR_TOKEN, Loopback, run_loopback
-
 from verbenawind.kernel.ports import Transaction
 
 CHANGED_TEXT = DOCUMENT_TEXT.replace('"max_versions": 1', '"max_versions": 3')
