Tell a lost store answer as may_have_run where the write is the request itself

A store error inside a service call says nothing of the call: its claim may be unresolved while the call surely did not run. So the store's error keeps not_run, and the interfaces whose whole effect is the write (operators' changes, steps, versions, grades) raise it to may_have_run.

--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -1,5 +1,7 @@
 """Error answers: a JSON body with code, outcome and when to retry."""
 
+import contextlib
+from collections.abc import Iterator
 from functools import singledispatch
 from http import HTTPStatus
 from typing import Any
@@ -41,6 +43,7 @@
     "error_response",
     "http_error_response",
     "http_status",
+    "store_write_is_the_request",
     "unexpected_response",
 ]
 
@@ -167,6 +170,17 @@
     )
 
 
+@contextlib.contextmanager
+def store_write_is_the_request() -> Iterator[None]:
+    """Say ``may_have_run`` of a failed request whose whole effect is a write to the store."""
+    try:
+        yield
+    except StoreUnavailable as error:
+        if error.effect_possible:
+            error.outcome = Outcome.MAY_HAVE_RUN
+        raise
+
+
 def http_error_response(request: Request[Any, Any, Any], error: HTTPException) -> Response[bytes]:
     """Return the JSON answer to an error of the HTTP framework, such as an unknown path."""
     answer = error_response(request, _framework_error(request, error))
--- a/src/verbenawind/api/operators.py
+++ b/src/verbenawind/api/operators.py
@@ -4,6 +4,7 @@
 
 from litestar import Request, Response, get, post, put
 
+from verbenawind.api.errors import store_write_is_the_request
 from verbenawind.api.replies import json_response
 from verbenawind.api.services import ApiServices, operator_services
 from verbenawind.document import (
@@ -123,10 +124,12 @@
     author = request.query_params.get("author", "")
     if len(author) > _MAX_AUTHOR_LENGTH:
         raise InvalidRequest(f"author has {len(author)} characters, {_MAX_AUTHOR_LENGTH} may be")
+    expected = _number(request, "expect_revision")
     try:
-        return await services.configuration.accept(
-            document, stage, expect_revision=_number(request, "expect_revision"), author=author
-        )
+        with store_write_is_the_request():
+            return await services.configuration.accept(
+                document, stage, expect_revision=expected, author=author
+            )
     except RevisionConflict as error:
         raise await _with_difference(services, document, stage, error) from error
 
--- a/src/verbenawind/api/rollouts.py
+++ b/src/verbenawind/api/rollouts.py
@@ -5,6 +5,8 @@
 import msgspec
 from litestar import Request, Response, post
 
+from verbenawind.api.errors import store_write_is_the_request
+from verbenawind.api.replies import json_response
 from verbenawind.api.services import ApiServices, caller_of
 from verbenawind.document import EnvironmentRevision, TrainerSpec
 from verbenawind.errors import Forbidden, InvalidRequest, UnknownResource
@@ -27,7 +29,8 @@
     """Submit a step."""
     services, revision, trainer = _trainer(request, environment, stage)
     submission = await _body(request, StepSubmission)
-    return _json(await services.rollouts.submit_step(revision, trainer, submission))
+    with store_write_is_the_request():
+        return json_response(await services.rollouts.submit_step(revision, trainer, submission))
 
 
 @post(_BASE + "/poll", status_code=200)
@@ -35,7 +38,7 @@
     """Get what follows the cursor."""
     services, revision, trainer = _trainer(request, environment, stage)
     asked = await _body(request, PollRequest)
-    return _json(await services.rollouts.poll(revision, trainer, asked))
+    return json_response(await services.rollouts.poll(revision, trainer, asked))
 
 
 @post(_BASE + "/versions", status_code=200)
@@ -50,7 +53,8 @@
     model = revision.document.model(version.model)
     if model is None:
         raise UnknownResource(f"environment {revision.name} has no model {version.model!r}")
-    return _json(await services.rollouts.publish_version(revision, model, version))
+    with store_write_is_the_request():
+        return json_response(await services.rollouts.publish_version(revision, model, version))
 
 
 @post(_BASE + "/grades", status_code=200)
@@ -58,7 +62,8 @@
     """Send grades."""
     services, revision, trainer = _trainer(request, environment, stage)
     submission = await _body(request, GradeSubmission)
-    return _json(await services.rollouts.submit_grades(revision, trainer, submission))
+    with store_write_is_the_request():
+        return json_response(await services.rollouts.submit_grades(revision, trainer, submission))
 
 
 HANDLERS = [steps, poll, versions, grades]
@@ -79,7 +84,3 @@
         return msgspec.json.decode(await request.body(), type=kind)
     except msgspec.DecodeError as error:
         raise InvalidRequest(f"body: {error}") from error
-
-
-def _json(value: Any) -> Response[bytes]:
-    return Response(msgspec.json.encode(value), media_type="application/json")
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -248,8 +248,7 @@
     def __init__(
         self, message: str, *, effect_possible: bool, retry_after_s: float | None = None
     ) -> None:
-        outcome = Outcome.MAY_HAVE_RUN if effect_possible else Outcome.NOT_RUN
-        super().__init__(message, outcome=outcome, retry_after_s=retry_after_s)
+        super().__init__(message, retry_after_s=retry_after_s)
         self.effect_possible = effect_possible
 
 
