Protect store calls and resolve lost answers by row versions

Now each written row is judged: its operation id, or its version against the expected one; what they leave open is raised as StoreUnavailable(effect_possible=True). Calls pass one gate with deadline (4 s an attempt, so that a store of 3 s an answer still serves), retry budget, concurrency limit and circuit breaker.

--- a/src/verbenawind/state/clients.py
+++ b/src/verbenawind/state/clients.py
@@ -1,18 +1,54 @@
 """Clients of the platform's stores that resolve lost answers by reading back."""
 
-import asyncio
 from collections.abc import Mapping, Sequence
+from enum import Enum
 from random import Random
 
 from verbenawind.clock import Clock
 from verbenawind.errors import ConditionFailed, StoreUnavailable
-from verbenawind.kernel.ports import ObjectStore, Row, TableStore, Transaction
+from verbenawind.kernel.ports import ObjectStore, Row, TableStore, Transaction, Write
+from verbenawind.state.gate import RefusedAfterLoss, StoreGate
 
-__all__ = ["ObjectClient", "TableClient"]
+__all__ = ["Effect", "ObjectClient", "TableClient", "effect_of"]
 
-_DEADLINE_S = 2.0
-_ATTEMPTS = 4
-_BACKOFF_S = 0.05
+
+class Effect(Enum):
+    """What the rows tell of an earlier attempt of a transaction."""
+
+    TAKEN = "taken"
+    NOT_TAKEN = "not_taken"
+    UNKNOWN = "unknown"
+
+
+def effect_of(transaction: Transaction, rows: Mapping[str, Row]) -> Effect:
+    """Judge by the rows, read after a refusal, whether an attempt had taken effect.
+
+    A transaction takes effect whole, so one row can settle it. Row versions rise by one with each
+    write, so a row at the version that the write expected was never written by it, and a row
+    one above was written by whoever it names. Higher versions hide who wrote before. Rows must
+    not be deleted and written anew while a transaction on them is being resolved.
+    """
+    verdicts = [
+        _row_effect(transaction, write, rows.get(write.key)) for write in transaction.writes
+    ]
+    if Effect.TAKEN in verdicts:
+        return Effect.TAKEN
+    if Effect.NOT_TAKEN in verdicts:
+        return Effect.NOT_TAKEN
+    return Effect.UNKNOWN
+
+
+def _row_effect(transaction: Transaction, write: Write, row: Row | None) -> Effect:
+    if row is not None and row.operation_id == transaction.operation_id:
+        return Effect.TAKEN
+    if write.check_only or write.expect_version is None:
+        return Effect.UNKNOWN
+    version = row.version if row else 0
+    if version <= write.expect_version and (row is not None or write.value is not None):
+        return Effect.NOT_TAKEN
+    if version == write.expect_version + 1 and write.value is not None:
+        return Effect.NOT_TAKEN
+    return Effect.UNKNOWN
 
 
 class TableClient:
@@ -24,71 +60,57 @@
         rng: Jitter of the retries.
     """
 
-    __slots__ = ("_clock", "_rng", "_store")
+    __slots__ = ("_gate", "_store")
 
     def __init__(self, store: TableStore, clock: Clock, rng: Random) -> None:
         self._store = store
-        self._clock = clock
-        self._rng = rng
+        self._gate = StoreGate("table service", clock, rng)
 
     async def read(self, keys: Sequence[str]) -> Mapping[str, Row]:
         """Return the rows that exist among *keys*."""
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    return await self._store.read(keys)
-            except (StoreUnavailable, TimeoutError):
-                await self._back_off(attempt)
-        raise StoreUnavailable(f"read of {len(keys)} rows failed", effect_possible=False)
+        what = f"read of {len(keys)} rows from {keys[0]!r}" if keys else "read of no rows"
+        return await self._gate.call(what, lambda: self._store.read(keys))
 
     async def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> Sequence[Row]:
         """Return rows below *prefix* that sort after *after*."""
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    return await self._store.scan(prefix, after=after, limit=limit)
-            except (StoreUnavailable, TimeoutError):
-                await self._back_off(attempt)
-        raise StoreUnavailable(f"scan of {prefix!r} failed", effect_possible=False)
+        return await self._gate.call(
+            f"scan of {prefix!r}", lambda: self._store.scan(prefix, after=after, limit=limit)
+        )
 
     async def commit(self, transaction: Transaction) -> None:
         """Apply a transaction; an answer that was lost is resolved by the operation id.
 
+        A refusal by the table is final: the condition that failed will not hold again, so an
+        earlier attempt that is still on its way fails too, and what took effect can be read.
+
         Raises:
-            ConditionFailed: The transaction did not take effect.
-            StoreUnavailable: No answer; ``effect_possible`` says whether it may have taken effect.
+            ConditionFailed: The transaction did not take effect and never will.
+            StoreUnavailable: No answer, or one that cannot be resolved; ``effect_possible`` says
+                whether it may have taken effect.
         """
-        uncertain = False
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    await self._store.commit(transaction)
-                return
-            except ConditionFailed:
-                if uncertain and await self._took_effect(transaction):
-                    return
-                raise
-            except StoreUnavailable as error:
-                uncertain = uncertain or error.effect_possible
-            except TimeoutError:
-                uncertain = True
-            await self._back_off(attempt)
-        raise StoreUnavailable(
-            f"commit {transaction.operation_id} got no answer", effect_possible=uncertain
-        )
+        what = f"commit {transaction.operation_id}"
+        try:
+            await self._gate.call(what, lambda: self._store.commit(transaction), writes=True)
+        except RefusedAfterLoss as error:
+            await self._resolve(transaction, error.refusal)
 
-    async def _took_effect(self, transaction: Transaction) -> bool:
-        keys = [write.key for write in transaction.writes if write.value is not None]
+    async def _resolve(self, transaction: Transaction, refusal: ConditionFailed) -> None:
+        what = f"commit {transaction.operation_id}"
         try:
-            rows = await self.read(keys)
+            rows = await self.read([write.key for write in transaction.writes])
         except StoreUnavailable as error:
             raise StoreUnavailable(
-                f"commit {transaction.operation_id} could not be looked up", effect_possible=True
+                f"{what}: a lost answer could not be resolved: {error.message}",
+                effect_possible=True,
             ) from error
-        return any(row.operation_id == transaction.operation_id for row in rows.values())
-
-    async def _back_off(self, attempt: int) -> None:
-        await self._clock.sleep(self._rng.uniform(0.0, _BACKOFF_S * 2**attempt))
+        effect = effect_of(transaction, rows)
+        if effect is Effect.NOT_TAKEN:
+            raise refusal
+        if effect is Effect.UNKNOWN:
+            raise StoreUnavailable(
+                f"{what}: an answer was lost and later writes hide its effect",
+                effect_possible=True,
+            )
 
 
 class ObjectClient:
@@ -100,42 +122,20 @@
         rng: Jitter of the retries.
     """
 
-    __slots__ = ("_clock", "_rng", "_store")
+    __slots__ = ("_gate", "_store")
 
     def __init__(self, store: ObjectStore, clock: Clock, rng: Random) -> None:
         self._store = store
-        self._clock = clock
-        self._rng = rng
+        self._gate = StoreGate("object store", clock, rng)
 
     async def put(self, key: str, data: bytes) -> None:
         """Store *data* under *key*."""
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    return await self._store.put(key, data)
-            except (StoreUnavailable, TimeoutError):
-                await self._back_off(attempt)
-        raise StoreUnavailable(f"put of {key!r} failed", effect_possible=True)
+        await self._gate.call(f"put of {key!r}", lambda: self._store.put(key, data), writes=True)
 
     async def get(self, key: str) -> bytes | None:
         """Return the object, None when absent."""
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    return await self._store.get(key)
-            except (StoreUnavailable, TimeoutError):
-                await self._back_off(attempt)
-        raise StoreUnavailable(f"get of {key!r} failed", effect_possible=False)
+        return await self._gate.call(f"get of {key!r}", lambda: self._store.get(key))
 
     async def delete(self, key: str) -> None:
         """Remove an object."""
-        for attempt in range(_ATTEMPTS):
-            try:
-                async with asyncio.timeout(_DEADLINE_S):
-                    return await self._store.delete(key)
-            except (StoreUnavailable, TimeoutError):
-                await self._back_off(attempt)
-        raise StoreUnavailable(f"delete of {key!r} failed", effect_possible=True)
-
-    async def _back_off(self, attempt: int) -> None:
-        await self._clock.sleep(self._rng.uniform(0.0, _BACKOFF_S * 2**attempt))
+        await self._gate.call(f"delete of {key!r}", lambda: self._store.delete(key), writes=True)
--- /dev/null
+++ b/src/verbenawind/state/gate.py
@@ -0,0 +1,213 @@
+"""What every store call passes: a concurrency limit, a deadline, a circuit breaker, retries."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import TypeVar
+
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import ConditionFailed, StoreUnavailable
+
+__all__ = ["CircuitBreaker", "RefusedAfterLoss", "RetryBudget", "StoreGate"]
+
+T = TypeVar("T")
+
+_MAX_CONCURRENT_CALLS = 64
+_ATTEMPT_TIMEOUT_S = 4.0
+_CALL_TIMEOUT_S = 8.0
+_ATTEMPTS = 4
+_BACKOFF_S = 0.05
+_BUDGET_TOKENS = 20.0
+_TOKENS_PER_CALL = 0.5
+_FAILURES_TO_OPEN = 8
+_MIN_OPEN_S = 0.5
+_MAX_OPEN_S = 5.0
+
+
+class RefusedAfterLoss(Exception):
+    """Raised when a commit is refused after the answer of an earlier attempt was lost.
+
+    Args:
+        refusal: The refusal, which an earlier attempt that took effect may have caused.
+    """
+
+    def __init__(self, refusal: ConditionFailed) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class RetryBudget:
+    """Allows retries up to a fraction of the first attempts, with a small stock."""
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        self._tokens = _BUDGET_TOKENS
+
+    def earn(self) -> None:
+        """Record a first attempt."""
+        self._tokens = min(_BUDGET_TOKENS, self._tokens + _TOKENS_PER_CALL)
+
+    def spend(self) -> bool:
+        """Take one retry out of the budget, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class CircuitBreaker:
+    """Refuses calls for a while after many failures in a row, then lets one through.
+
+    Args:
+        clock: Time source.
+        rng: Jitter, so that daemons don't return to a store all at once.
+    """
+
+    __slots__ = ("_clock", "_failures", "_open_s", "_open_until_s", "_probing", "_rng")
+
+    def __init__(self, clock: Clock, rng: Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._failures = 0
+        self._open_s = _MIN_OPEN_S
+        self._open_until_s = 0.0
+        self._probing = False
+
+    def wait_s(self) -> float:
+        """Return for how long calls are refused yet, in seconds; 0 when one may go."""
+        if self._failures < _FAILURES_TO_OPEN:
+            return 0.0
+        if self._probing:
+            return self._open_s
+        return max(0.0, self._open_until_s - self._clock.monotonic_s())
+
+    def begin(self) -> None:
+        """Record that a call goes out; an open breaker lets only this one through."""
+        self._probing = self._failures >= _FAILURES_TO_OPEN
+
+    def succeeded(self) -> None:
+        """Close the breaker."""
+        self._failures = 0
+        self._open_s = _MIN_OPEN_S
+        self._probing = False
+
+    def failed(self) -> None:
+        """Count a failure, and open the breaker after too many."""
+        self._failures += 1
+        self._probing = False
+        if self._failures < _FAILURES_TO_OPEN:
+            return
+        jittered_s = self._open_s * self._rng.uniform(0.5, 1.0)
+        self._open_until_s = self._clock.monotonic_s() + jittered_s
+        self._open_s = min(_MAX_OPEN_S, 2 * self._open_s)
+
+    def abandoned(self) -> None:
+        """Record that a call was cancelled and tells nothing of the store."""
+        self._probing = False
+
+
+class StoreGate:
+    """Runs the calls of one store.
+
+    Args:
+        store: The store's name in errors and logs.
+        clock: Time source.
+        rng: Jitter of retries.
+    """
+
+    __slots__ = ("_breaker", "_budget", "_clock", "_log", "_rng", "_slots", "_store")
+
+    def __init__(self, store: str, clock: Clock, rng: Random) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._breaker = CircuitBreaker(clock, rng)
+        self._budget = RetryBudget()
+        self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CALLS)
+        self._log = structlog.get_logger("state")
+
+    async def call(
+        self, what: str, attempt: Callable[[], Awaitable[T]], *, writes: bool = False
+    ) -> T:
+        """Run *attempt* with retries until it answers.
+
+        Raises:
+            StoreUnavailable: No answer; ``effect_possible`` tells whether any attempt of a call
+                that writes may have taken effect.
+            RefusedAfterLoss: A condition failed after an answer had been lost.
+            ConditionFailed: A condition failed at once.
+        """
+        uncertain = False
+        ends_at_s = self._clock.monotonic_s() + _CALL_TIMEOUT_S
+        self._budget.earn()
+        for number in range(_ATTEMPTS):
+            remaining_s = ends_at_s - self._clock.monotonic_s()
+            if number > 0 and (remaining_s <= 0 or not self._budget.spend()):
+                break
+            try:
+                return await self._attempt(what, attempt, remaining_s)
+            except StoreUnavailable as error:
+                uncertain = uncertain or (writes and error.effect_possible)
+                reason, retry_after_s = error.message, error.retry_after_s
+            except ConditionFailed as error:
+                if uncertain:
+                    raise RefusedAfterLoss(error) from error
+                raise
+            if retry_after_s is not None:
+                break
+            await self._clock.sleep(self._rng.uniform(0.0, _BACKOFF_S * 2**number))
+        self._log.info("store_call_failed", store=self._store, what=what, reason=reason)
+        raise StoreUnavailable(
+            f"{what}: no answer from the {self._store} ({reason})",
+            effect_possible=uncertain,
+            retry_after_s=retry_after_s,
+        )
+
+    async def _attempt(self, what: str, attempt: Callable[[], Awaitable[T]], limit_s: float) -> T:
+        wait_s = self._breaker.wait_s()
+        if wait_s > 0:
+            raise StoreUnavailable(
+                f"{what}: the {self._store} failed often, next try in {wait_s:.2f} s",
+                effect_possible=False,
+                retry_after_s=wait_s,
+            )
+        await self._take_slot(what, limit_s)
+        try:
+            return await self._run(what, attempt, limit_s)
+        finally:
+            self._slots.release()
+
+    async def _take_slot(self, what: str, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._slots.acquire()
+        except TimeoutError as error:
+            raise StoreUnavailable(
+                f"{what}: {_MAX_CONCURRENT_CALLS} calls run already", effect_possible=False
+            ) from error
+
+    async def _run(self, what: str, attempt: Callable[[], Awaitable[T]], limit_s: float) -> T:
+        timeout_s = min(_ATTEMPT_TIMEOUT_S, limit_s)
+        self._breaker.begin()
+        try:
+            async with asyncio.timeout(timeout_s):
+                result = await attempt()
+        except TimeoutError as error:
+            self._breaker.failed()
+            raise StoreUnavailable(
+                f"{what}: no answer within {timeout_s:.1f} s", effect_possible=True
+            ) from error
+        except StoreUnavailable:
+            self._breaker.failed()
+            raise
+        except asyncio.CancelledError:
+            self._breaker.abandoned()
+            raise
+        except Exception:
+            self._breaker.succeeded()
+            raise
+        self._breaker.succeeded()
+        return result
