Make leases cheap to contend for and sure after lost answers

Every daemon read the lease rows at each poll of its holder loop: five reads a second, daemon and lease. Now two standbys watch a lease closely, the others read every 15 to 45 s or soon after peers tell that it is free or that its holder is gone. An acquisition or release whose answer was lost is made good by the same process at once, under the next fencing number, so that a late write of it fails. Leases that are due within a second are renewed by one transaction.

Ruled out: adopting the unheard acquisition under its own number, because a late release would then free the lease under its holder.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -58,7 +58,6 @@
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
-        self.leases = LeaseManager(self.table, clock, settings.daemon_id)
         self.peers = GossipBus(
             peer_id=settings.daemon_id,
             location=self.fleet.location,
@@ -69,6 +68,14 @@
             clock=clock,
             rng=rng,
         )
+        self.leases = LeaseManager(
+            self.table,
+            clock,
+            settings.daemon_id,
+            rng=rng,
+            peers=self.peers,
+            zone=settings.zone,
+        )
         self.configuration = ConfigurationStore(self.table, clock)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
--- a/src/verbenawind/kernel/ports.py
+++ b/src/verbenawind/kernel/ports.py
@@ -334,11 +334,14 @@
 class Leases(Protocol):
     """Acquires leases in the table service and renews those that are held."""
 
-    async def acquire(self, name: str, duration_s: float) -> Lease | None:
+    async def acquire(
+        self, name: str, duration_s: float, *, zone_only: bool = False
+    ) -> Lease | None:
         """Return the lease, or None while another holder has it.
 
-        It is renewed in the background until released or lost. The guard row
-        (``Lease.row_key``) changes its version only when the holder changes.
+        With ``zone_only`` only daemons of this zone contend for it. It is renewed in the
+        background until released or lost. The guard row (``Lease.row_key``) changes its version
+        only when the holder changes.
         """
 
 
--- /dev/null
+++ b/src/verbenawind/state/contention.py
@@ -0,0 +1,132 @@
+"""When a contender for a lease reads the table, so that many contenders cost little."""
+
+from random import Random
+
+import msgspec
+
+from verbenawind.clock import Clock
+from verbenawind.kernel.ports import PeerBus, SpreadItem
+from verbenawind.membership.topology import rendezvous
+
+__all__ = ["Contention"]
+
+LEASE_KIND = "lease"
+_STANDBYS = 2
+_STANDBY_READS_PER_DURATION = 3
+_SLOW_PERIOD_S = 30.0
+_FAILURE_PAUSE_S = 0.5
+_SPREAD_PER_CONTENDER_S = 0.1
+_WATCH_SLACK_S = 0.2
+
+
+class _Watch:
+    """What a contender saw of a lease and when it looks again."""
+
+    __slots__ = ("next_read_s", "owner", "seen", "since_s")
+
+    def __init__(self) -> None:
+        self.seen: tuple[int, int] | None = None
+        self.since_s = 0.0
+        self.next_read_s = 0.0
+        self.owner = ""
+
+
+class Contention:
+    """Spaces the reads of contenders out.
+
+    Two standbys, the same in everybody's view, watch a lease closely. The others read rarely,
+    and soon after they hear from peers that the lease is free or its holder is gone.
+
+    Args:
+        clock: Time source.
+        rng: Jitter.
+        peers: The peer bus.
+        zone: This daemon's availability zone.
+    """
+
+    __slots__ = ("_clock", "_peers", "_rng", "_watches", "_zone")
+
+    def __init__(self, clock: Clock, rng: Random, peers: PeerBus, zone: str) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._rng = rng
+        self._peers = peers
+        self._watches: dict[str, _Watch] = {}
+        peers.on_item(LEASE_KIND, self._on_lease)
+        peers.on_item("member", self._on_member)
+
+    def may_read(self, name: str) -> bool:
+        """Return whether it is time to read the lease's rows."""
+        watch = self._watches.get(name)
+        return watch is None or self._clock.monotonic_s() >= watch.next_read_s
+
+    def lapsed(
+        self, name: str, seen: tuple[int, int], duration_s: float, owner: str, zone_only: bool
+    ) -> bool:
+        """Take in the row versions just read; return whether they rested for the duration."""
+        now_s = self._clock.monotonic_s()
+        watch = self._watches.setdefault(name, _Watch())
+        watch.owner = owner
+        if watch.seen != seen:
+            watch.seen, watch.since_s = seen, now_s
+            watch.next_read_s = now_s + self._period_s(name, duration_s, owner, zone_only)
+            return False
+        rest_s = now_s - watch.since_s
+        if rest_s >= duration_s:
+            return True
+        watch.next_read_s = now_s + min(
+            duration_s / _STANDBY_READS_PER_DURATION, duration_s - rest_s + _WATCH_SLACK_S
+        )
+        return False
+
+    def failed(self, name: str) -> None:
+        """Record that the table gave no answer, or that another contender was faster."""
+        watch = self._watches.setdefault(name, _Watch())
+        pause_s = self._rng.uniform(0.5, 1.0) * _FAILURE_PAUSE_S
+        watch.next_read_s = self._clock.monotonic_s() + pause_s
+
+    def won(self, name: str) -> None:
+        """Forget the watch of a lease that this daemon now holds."""
+        self._watches.pop(name, None)
+
+    def announce(self, name: str, fencing_number: int, *, held: bool) -> None:
+        """Tell peers that this daemon holds a lease, or no longer does."""
+        body = msgspec.json.encode(self._peers.peer_id)
+        rank = (fencing_number, 0 if held else 1)
+        self._peers.spread(SpreadItem(kind=LEASE_KIND, key=name, rank=rank, body=body))
+
+    def _period_s(self, name: str, duration_s: float, owner: str, zone_only: bool) -> float:
+        close_s = duration_s / _STANDBY_READS_PER_DURATION
+        contenders = self._contenders(zone_only)
+        if owner not in contenders or self._peers.peer_id in self._standbys(
+            name, owner, contenders
+        ):
+            return close_s
+        return max(close_s, self._rng.uniform(0.5, 1.5) * _SLOW_PERIOD_S)
+
+    def _standbys(self, name: str, owner: str, contenders: set[str]) -> set[str]:
+        return set(rendezvous(name, contenders - {owner}, _STANDBYS))
+
+    def _contenders(self, zone_only: bool) -> set[str]:
+        others = {
+            peer.peer_id
+            for peer in self._peers.peers()
+            if not zone_only or peer.location.zone == self._zone
+        }
+        return {*others, self._peers.peer_id}
+
+    def _on_lease(self, item: SpreadItem) -> None:
+        watch = self._watches.get(item.key)
+        if watch is not None and item.rank[1] == 1:
+            self._read_soon(watch)
+
+    def _on_member(self, item: SpreadItem) -> None:
+        present = {peer.peer_id for peer in self._peers.peers()}
+        for watch in self._watches.values():
+            if watch.owner == item.key and watch.owner not in present:
+                self._read_soon(watch)
+
+    def _read_soon(self, watch: _Watch) -> None:
+        spread_s = _SPREAD_PER_CONTENDER_S * (len(self._peers.peers()) + 1)
+        soon_s = self._clock.monotonic_s() + self._rng.uniform(0.0, spread_s)
+        watch.next_read_s = min(watch.next_read_s, soon_s)
--- a/src/verbenawind/state/leases.py
+++ b/src/verbenawind/state/leases.py
@@ -1,19 +1,25 @@
 """Leases in the table service, judged on the monotonic clock of their holder."""
 
 import asyncio
-import contextlib
+from collections.abc import Sequence
+from random import Random
 
 import msgspec
+import structlog
 
 from verbenawind.clock import Clock
 from verbenawind.errors import ConditionFailed, LeaseLost, StoreUnavailable
 from verbenawind.ids import new_id
-from verbenawind.kernel.ports import Lease, Row, TableStore, Transaction, Write
+from verbenawind.kernel.ports import Lease, PeerBus, Row, TableStore, Transaction, Write
+from verbenawind.state.contention import Contention
 
 __all__ = ["HeldLease", "LeaseManager"]
 
 _DRIFT_FRACTION = 0.1
 _RENEWALS_PER_DURATION = 3
+_MIN_RENEWAL_PAUSE_S = 0.1
+_MAX_RENEWAL_PAUSE_S = 0.5
+_RENEWED_TOGETHER_S = 1.0
 
 
 class _Holder(msgspec.Struct, frozen=True):
@@ -22,6 +28,7 @@
     owner: str
     fencing_number: int
     released: bool = False
+    session: str = ""
 
 
 class _Beat(msgspec.Struct, frozen=True):
@@ -35,7 +42,17 @@
 class HeldLease:
     """A held lease; implements the Lease port."""
 
-    __slots__ = ("_clock", "_ends_at_s", "_fencing_number", "_manager", "_name", "_row_version")
+    __slots__ = (
+        "_clock",
+        "_ends_at_s",
+        "_fencing_number",
+        "_manager",
+        "_name",
+        "_row_version",
+        "beat",
+        "duration_s",
+        "renew_at_s",
+    )
 
     def __init__(
         self,
@@ -44,14 +61,17 @@
         name: str,
         fencing_number: int,
         row_version: int,
-        ends_at_s: float,
+        asked_at_s: float,
+        duration_s: float,
     ) -> None:
         self._manager = manager
         self._clock = clock
         self._name = name
         self._fencing_number = fencing_number
         self._row_version = row_version
-        self._ends_at_s = ends_at_s
+        self.beat = 0
+        self.duration_s = duration_s
+        self.extend(asked_at_s)
 
     @property
     def name(self) -> str:
@@ -86,9 +106,14 @@
         """Give the lease back."""
         await self._manager.release(self)
 
-    def extend(self, ends_at_s: float) -> None:
-        """Record a renewal."""
-        self._ends_at_s = ends_at_s
+    def extend(self, asked_at_s: float) -> None:
+        """Record an acquisition or renewal that was asked for at a monotonic time.
+
+        Contenders wait the whole duration from when they saw the beat, which is later; the margin
+        covers clocks that run at rates up to a tenth apart.
+        """
+        self._ends_at_s = asked_at_s + self.duration_s * (1 - _DRIFT_FRACTION)
+        self.renew_at_s = asked_at_s + self.duration_s / _RENEWALS_PER_DURATION
 
     def lose(self) -> None:
         """Record that the lease is gone."""
@@ -99,123 +124,202 @@
     """Acquires and renews leases; implements the Leases port.
 
     A contender that has watched the heartbeat row unchanged for the whole duration, by its own
-    monotonic clock, takes the lease over with the next fencing number.
+    monotonic clock, takes the lease over with the next fencing number. All leases that are due
+    are renewed in one transaction.
 
     Args:
         table: The table service's client.
         clock: Time source.
         owner: This daemon's identifier.
+        rng: Jitter.
+        peers: The peer bus, which spares contenders most reads.
+        zone: This daemon's availability zone.
     """
 
-    __slots__ = ("_clock", "_owner", "_renewals", "_table", "_watched")
-
-    def __init__(self, table: TableStore, clock: Clock, owner: str) -> None:
-        self._table = table
+    def __init__(
+        self,
+        table: TableStore,
+        clock: Clock,
+        owner: str,
+        *,
+        rng: Random,
+        peers: PeerBus,
+        zone: str,
+    ) -> None:
         self._clock = clock
         self._owner = owner
-        self._watched: dict[str, tuple[Row | None, float]] = {}
-        self._renewals: dict[HeldLease, asyncio.Task[None]] = {}
-
-    async def acquire(self, name: str, duration_s: float) -> Lease | None:
-        """Return the lease, or None while another holder has it or the table is away."""
-        asked_at_s = self._clock.monotonic_s()
+        self._session = new_id("session")
+        self._table = table
+        self._contention = Contention(clock, rng, peers, zone)
+        self._held: dict[str, HeldLease] = {}
+        self._acquiring: set[str] = set()
+        self._renewing: asyncio.Task[None] | None = None
+        self._log = structlog.get_logger("state")
+
+    async def acquire(
+        self, name: str, duration_s: float, *, zone_only: bool = False
+    ) -> Lease | None:
+        """Return the lease, or None while another holder has it or the table is away.
+
+        Polling it often is cheap: the table is read only when the answer may have changed. With
+        ``zone_only`` only daemons of this zone contend for the lease.
+        """
+        held = self._held.get(name)
+        if name in self._acquiring or (held is not None and held.remaining_s() > 0):
+            return None
+        if not self._contention.may_read(name):
+            return None
+        self._acquiring.add(name)
         try:
-            rows = await self._table.read([_guard_key(name), _beat_key(name)])
-            guard, beat = rows.get(_guard_key(name)), rows.get(_beat_key(name))
-            if not self._free(name, guard, beat):
-                return None
-            fencing_number = (_holder(guard).fencing_number if guard else 0) + 1
-            await self._write_holder(name, fencing_number, guard, duration_s)
-        except (ConditionFailed, StoreUnavailable):
+            return await self._try_acquire(name, duration_s, zone_only)
+        except (ConditionFailed, StoreUnavailable) as error:
+            self._contention.failed(name)
+            self._log.info("lease_not_acquired", lease=name, reason=error.message)
             return None
-        lease = HeldLease(
-            self,
-            self._clock,
-            name,
-            fencing_number,
-            (guard.version if guard else 0) + 1,
-            asked_at_s + duration_s * (1 - _DRIFT_FRACTION),
-        )
-        task = asyncio.get_running_loop().create_task(self._renew(lease, duration_s))
-        self._renewals[lease] = task
-        return lease
+        finally:
+            self._acquiring.discard(name)
 
     async def release(self, lease: HeldLease) -> None:
         """Stop renewing and mark the guard row as released."""
-        self._stop_renewing(lease)
+        if self._held.get(lease.name) is not lease:
+            return
+        del self._held[lease.name]
         lease.lose()
-        holder = _Holder(self._owner, lease.fencing_number, released=True)
+        holder = _Holder(self._owner, lease.fencing_number, True, self._session)
         write = Write(
             key=lease.row_key,
             value=msgspec.json.encode(holder),
             expect_version=lease.row_version,
         )
-        with contextlib.suppress(ConditionFailed, StoreUnavailable):
-            await self._table.commit(Transaction(operation_id=new_id("op"), writes=(write,)))
+        try:
+            await self._commit(write)
+        except (ConditionFailed, StoreUnavailable) as error:
+            self._log.warning("lease_not_released", lease=lease.name, reason=error.message)
+        self._contention.announce(lease.name, lease.fencing_number, held=False)
 
     async def stop(self) -> None:
         """Release every held lease."""
-        for lease in list(self._renewals):
-            await self.release(lease)
+        await asyncio.gather(*(self.release(lease) for lease in list(self._held.values())))
+        self._stop_renewing()
 
     def abandon(self) -> None:
         """Stop every renewal without releasing, as a dying process would."""
-        for lease in list(self._renewals):
-            self._stop_renewing(lease)
+        self._stop_renewing()
 
-    def _free(self, name: str, guard: Row | None, beat: Row | None) -> bool:
-        if guard is None or _holder(guard).released:
-            return True
-        now_s = self._clock.monotonic_s()
-        seen, since_s = self._watched.get(name, (None, now_s))
-        if beat is None or seen is None or seen.version != beat.version:
-            self._watched[name] = (beat, now_s)
-            return False
-        duration_s = msgspec.json.decode(beat.value, type=_Beat).duration_s
-        return now_s - since_s >= duration_s
-
-    async def _write_holder(
-        self, name: str, fencing_number: int, guard: Row | None, duration_s: float
-    ) -> None:
-        holder = _Holder(self._owner, fencing_number)
-        beat = _Beat(fencing_number, 0, duration_s)
-        writes = (
+    async def _try_acquire(self, name: str, duration_s: float, zone_only: bool) -> Lease | None:
+        asked_at_s = self._clock.monotonic_s()
+        rows = await self._table.read([_guard_key(name), _beat_key(name)])
+        guard, beat = rows.get(_guard_key(name)), rows.get(_beat_key(name))
+        if not self._free(name, guard, beat, duration_s, zone_only):
+            return None
+        fencing_number = (_holder(guard).fencing_number if guard else 0) + 1
+        await self._commit(
             Write(
                 key=_guard_key(name),
-                value=msgspec.json.encode(holder),
+                value=msgspec.json.encode(
+                    _Holder(self._owner, fencing_number, session=self._session)
+                ),
                 expect_version=guard.version if guard else 0,
             ),
-            Write(key=_beat_key(name), value=msgspec.json.encode(beat)),
+            _beat_write(name, _Beat(fencing_number, 0, duration_s)),
+        )
+        row_version = (guard.version if guard else 0) + 1
+        lease = HeldLease(
+            self, self._clock, name, fencing_number, row_version, asked_at_s, duration_s
+        )
+        self._held[name] = lease
+        self._contention.won(name)
+        self._contention.announce(name, fencing_number, held=True)
+        self._log.info("lease_acquired", lease=name, fencing_number=fencing_number)
+        self._keep_renewing()
+        return lease
+
+    def _free(
+        self, name: str, guard: Row | None, beat: Row | None, duration_s: float, zone_only: bool
+    ) -> bool:
+        if guard is None:
+            return True
+        holder = _holder(guard)
+        if holder.released or holder.session == self._session:
+            # An earlier acquisition or release of this process whose answer was lost: nobody
+            # acts under it, and the next fencing number makes a late write of it fail.
+            return True
+        if beat is not None:
+            duration_s = msgspec.json.decode(beat.value, type=_Beat).duration_s
+        version = beat.version if beat else 0
+        return self._contention.lapsed(
+            name, (guard.version, version), duration_s, holder.owner, zone_only
         )
-        await self._table.commit(Transaction(operation_id=new_id("op"), writes=writes))
 
-    async def _renew(self, lease: HeldLease, duration_s: float) -> None:
-        number = 0
-        while lease.remaining_s() > 0:
-            await self._clock.sleep(duration_s / _RENEWALS_PER_DURATION)
-            asked_at_s = self._clock.monotonic_s()
-            number += 1
-            writes = (
+    def _keep_renewing(self) -> None:
+        if self._renewing is None or self._renewing.done():
+            self._renewing = asyncio.get_running_loop().create_task(self._renew())
+
+    def _stop_renewing(self) -> None:
+        for lease in self._held.values():
+            lease.lose()
+        self._held.clear()
+        if self._renewing is not None:
+            self._renewing.cancel()
+
+    async def _renew(self) -> None:
+        while self._held:
+            now_s = self._clock.monotonic_s()
+            next_s = min(lease.renew_at_s for lease in self._held.values())
+            pause_s = min(_MAX_RENEWAL_PAUSE_S, max(_MIN_RENEWAL_PAUSE_S, next_s - now_s))
+            await self._clock.sleep(pause_s)
+            now_s = self._clock.monotonic_s()
+            if not any(lease.renew_at_s <= now_s for lease in self._held.values()):
+                continue
+            due = [
+                lease
+                for lease in self._held.values()
+                if lease.renew_at_s <= now_s + _RENEWED_TOGETHER_S
+            ]
+            self._drop_lapsed(due)
+            held = [lease for lease in due if self._held.get(lease.name) is lease]
+            if held:
+                await self._renew_together(held)
+
+    async def _renew_together(self, leases: Sequence[HeldLease]) -> None:
+        asked_at_s = self._clock.monotonic_s()
+        writes: list[Write] = []
+        for lease in leases:
+            lease.beat += 1
+            writes += [
                 Write(key=lease.row_key, expect_version=lease.row_version, check_only=True),
-                Write(
-                    key=_beat_key(lease.name),
-                    value=msgspec.json.encode(_Beat(lease.fencing_number, number, duration_s)),
-                ),
-            )
-            try:
-                lease.check()
-                await self._table.commit(Transaction(operation_id=new_id("op"), writes=writes))
-                lease.extend(asked_at_s + duration_s * (1 - _DRIFT_FRACTION))
-            except (ConditionFailed, LeaseLost):
-                lease.lose()
-            except StoreUnavailable:
+                _beat_write(lease.name, _Beat(lease.fencing_number, lease.beat, lease.duration_s)),
+            ]
+        try:
+            await self._commit(*writes)
+        except ConditionFailed as error:
+            self._drop(leases, set(error.keys), "another daemon holds it")
+        except StoreUnavailable:
+            self._drop_lapsed(leases)
+        else:
+            for lease in leases:
+                if lease.remaining_s() > 0:
+                    lease.extend(asked_at_s)
+
+    def _drop_lapsed(self, leases: Sequence[HeldLease]) -> None:
+        lapsed = {lease.row_key for lease in leases if lease.remaining_s() <= 0}
+        self._drop(leases, lapsed, "it could not be renewed in time")
+
+    def _drop(self, leases: Sequence[HeldLease], row_keys: set[str], reason: str) -> None:
+        for lease in leases:
+            if lease.row_key not in row_keys or self._held.get(lease.name) is not lease:
                 continue
-        self._renewals.pop(lease, None)
+            del self._held[lease.name]
+            lease.lose()
+            self._log.warning("lease_lost", lease=lease.name, reason=reason)
+            self._contention.announce(lease.name, lease.fencing_number, held=False)
+
+    async def _commit(self, *writes: Write) -> None:
+        await self._table.commit(Transaction(operation_id=new_id("op"), writes=writes))
+
 
-    def _stop_renewing(self, lease: HeldLease) -> None:
-        task = self._renewals.pop(lease, None)
-        if task is not None:
-            task.cancel()
+def _beat_write(name: str, beat: _Beat) -> Write:
+    return Write(key=_beat_key(name), value=msgspec.json.encode(beat))
 
 
 def _guard_key(name: str) -> str:
--- a/src/verbenawind/weights/controller.py
+++ b/src/verbenawind/weights/controller.py
@@ -62,7 +62,7 @@
     async def _work(self) -> None:
         if self._lease is None or self._lease.remaining_s() <= 0:
             self._lease = await self._leases.acquire(
-                f"weights/{self._fleet.location.zone}", _LEASE_S
+                f"weights/{self._fleet.location.zone}", _LEASE_S, zone_only=True
             )
         if self._lease is None:
             return
--- /dev/null
+++ b/tests/state/test_leases.py
@@ -0,0 +1,200 @@
+"""Tests of leases, by produced failure, between daemons of one world on virtual time."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from verbenawind.daemon import Core
+from verbenawind.errors import ConditionFailed, LeaseLost, StoreUnavailable
+from verbenawind.kernel.ports import Lease, Transaction, Write
+from verbenawind.standins.network import PLATFORM
+from verbenawind.standins.world import World, run_virtual
+
+DURATION_S = 6.0
+
+
+def run_world(work: Callable[[World, list[Core]], Awaitable[Any]]) -> Any:
+    async def scenario() -> Any:
+        world = World()
+        cores = [world.add_daemon(f"daemon-{index}", zone_index=index) for index in range(3)]
+        for core in cores:
+            await core.start()
+        await asyncio.sleep(5.0)
+        result = await work(world, cores)
+        await world.stop()
+        return result
+
+    return run_virtual(scenario())
+
+
+async def acquire(core: Core, limit_s: float = 60.0) -> Lease:
+    """Poll as the holders do."""
+    for _ in range(int(limit_s / 0.2)):
+        lease = await core.leases.acquire("work", DURATION_S)
+        if lease is not None:
+            return lease
+        await asyncio.sleep(0.2)
+    raise AssertionError(f"no lease within {limit_s} s")
+
+
+async def guarded_write(world: World, lease: Lease) -> None:
+    guard = Write(key=lease.row_key, expect_version=lease.row_version, check_only=True)
+    write = Write(key="effect", value=b"x")
+    await world.table.commit(Transaction(operation_id="op", writes=(guard, write)))
+
+
+class TestHolding:
+    def test_one_holder_renews_without_moving_the_guard(self) -> None:
+        """A held lease stays held for minutes by one daemon, and its guard row rests."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            lease = await acquire(cores[0])
+            for _ in range(300):
+                await asyncio.sleep(0.5)
+                lease.check()
+                assert await cores[1].leases.acquire("work", DURATION_S) is None
+            assert world.table.rows[lease.row_key].version == lease.row_version
+
+        run_world(work)
+
+    def test_released_lease_is_taken_soon_with_a_higher_number(self) -> None:
+        """After a release another daemon has the lease in 3 s, with a higher fencing number."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            first = await acquire(cores[0])
+            assert await cores[1].leases.acquire("work", DURATION_S) is None
+            await first.release()
+            second = await acquire(cores[1], 3.0)
+            assert second.fencing_number > first.fencing_number
+            with pytest.raises(LeaseLost):
+                first.check()
+
+        run_world(work)
+
+    def test_contenders_read_rarely(self) -> None:
+        """Two contenders that poll five times a second cost less than two reads a second."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await acquire(cores[0])
+            for core in cores[1:]:
+                await core.leases.acquire("work", DURATION_S)
+            reads = 0
+            original = world.table.read
+
+            async def counted(keys: Any) -> Any:
+                nonlocal reads
+                reads += any(key.startswith("lease/work") for key in keys)
+                return await original(keys)
+
+            world.table.read = counted  # type: ignore[method-assign]
+            for _ in range(300):
+                await asyncio.sleep(0.2)
+                for core in cores[1:]:
+                    assert await core.leases.acquire("work", DURATION_S) is None
+            assert reads < 120
+
+        run_world(work)
+
+
+class TestLosing:
+    def test_crashed_holder_is_followed(self) -> None:
+        """After a crash another daemon has the lease within three durations."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            first = await acquire(cores[0])
+            await cores[1].leases.acquire("work", DURATION_S)
+            await cores[0].kill()
+            second = await acquire(cores[1], 3 * DURATION_S)
+            assert second.fencing_number > first.fencing_number
+
+        run_world(work)
+
+    def test_paused_holder_finds_out_before_it_acts(self) -> None:
+        """A holder paused past its lease fails its check, and its guarded write is refused."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            first = await acquire(cores[0])
+            await cores[1].leases.acquire("work", DURATION_S)
+            world.processes["daemon-0"].pause()
+            second = await acquire(cores[1], 3 * DURATION_S)
+            with pytest.raises(LeaseLost):
+                first.check()
+            with pytest.raises(ConditionFailed):
+                await guarded_write(world, first)
+            await guarded_write(world, second)
+            world.processes["daemon-0"].resume()
+            await asyncio.sleep(10.0)
+            second.check()
+
+        run_world(work)
+
+    def test_never_two_holders(self) -> None:
+        """While the holder loses and regains the platform, no two daemons pass the check."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            held: dict[str, Lease] = {}
+
+            async def contend(core: Core) -> None:
+                while True:
+                    lease = held.get(core.settings.daemon_id)
+                    if lease is None or lease.remaining_s() <= 0:
+                        lease = await core.leases.acquire("work", DURATION_S)
+                        if lease is not None:
+                            held[core.settings.daemon_id] = lease
+                    await asyncio.sleep(0.2)
+
+            tasks = [asyncio.ensure_future(contend(core)) for core in cores]
+            numbers = set()
+            for step in range(1200):
+                if step % 100 == 0:
+                    world.network.heal()
+                    world.network.cut(cores[step // 100 % 3].settings.zone, PLATFORM)
+                world.table.faults.lose_answer_rate = 0.2
+                await asyncio.sleep(0.1)
+                valid = [lease for lease in held.values() if lease.remaining_s() > 0]
+                assert len(valid) <= 1
+                numbers.update(lease.fencing_number for lease in valid)
+            assert len(numbers) >= 3
+            for task in tasks:
+                task.cancel()
+
+        run_world(work)
+
+
+class TestLostAnswers:
+    def test_acquisition_without_any_answer_does_not_block(self) -> None:
+        """An acquisition that took effect unheard is made good by the same daemon in 3 s."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            original = world.table.commit
+
+            async def silent(transaction: Transaction) -> None:
+                if not transaction.writes[0].key.startswith("lease/work/"):
+                    return await original(transaction)
+                with contextlib.suppress(ConditionFailed):
+                    await original(transaction)
+                raise StoreUnavailable("no answer", effect_possible=True)
+
+            world.table.commit = silent  # type: ignore[method-assign]
+            assert await cores[0].leases.acquire("work", DURATION_S) is None
+            assert "lease/work/guard" in world.table.rows
+            world.table.commit = original  # type: ignore[method-assign]
+            lease = await acquire(cores[0], 3.0)
+            lease.check()
+
+        run_world(work)
+
+    def test_renewals_survive_lost_answers(self) -> None:
+        """With three answers in ten lost the holder keeps its lease for two minutes."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            lease = await acquire(cores[0])
+            world.table.faults.lose_answer_rate = 0.3
+            for _ in range(240):
+                await asyncio.sleep(0.5)
+                lease.check()
+
+        run_world(work)
