--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -26,7 +26,7 @@
     HttpWeightStore,
 )
 from verbenawind.rollout import Rollouts
-from verbenawind.routing import Dispatcher, WaitPolicy
+from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
@@ -61,10 +61,11 @@
             clients=outside.clients,
             clock=clock,
             rng=rng,
+            configuration=self.configuration,
             table=self.table,
             objects=self.objects,
             peers=self.peers,
-            policy=WaitPolicy(max_queued=settings.limits.max_queued_requests),
+            policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
         self.rollouts = Rollouts(
--- a/src/verbenawind/kernel/messages.py
+++ b/src/verbenawind/kernel/messages.py
@@ -159,6 +159,7 @@
 
     ``deadline_s`` is on the daemon's monotonic clock. ``min_version`` is the oldest weight
     version that may serve it, None when any may. ``environment`` is ``name/stage``.
+    ``reconnect`` says that the caller sent the request before and wants the rest of its answer.
     """
 
     request_id: str
@@ -175,6 +176,7 @@
     priority: int = 0
     min_version: int | None = None
     expected_tokens: int = 0
+    reconnect: bool = False
 
 
 class GenerationAttempt(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/routing/services.py
+++ b/src/verbenawind/routing/services.py
@@ -36,8 +36,9 @@
 from verbenawind.kernel.ports import BackendClients, ObjectStore, PeerBus, TableStore
 from verbenawind.routing.choice import Choice, choose_service_host
 from verbenawind.routing.claims import Claim, Claims, ClaimState, claim_key, request_digest
+from verbenawind.routing.policy import RoutingPolicy
 from verbenawind.routing.retries import RetryBudget, backoff_s
-from verbenawind.routing.slots import SlotQueue, Ticket, WaitPolicy
+from verbenawind.routing.slots import SlotQueue, Ticket
 
 __all__ = ["ServiceDispatcher"]
 
@@ -102,7 +103,7 @@
         table: TableStore,
         objects: ObjectStore,
         peers: PeerBus,
-        policy: WaitPolicy,
+        policy: RoutingPolicy,
     ) -> None:
         self._fleet = fleet
         self._clients = clients
@@ -392,7 +393,7 @@
             raise
         finally:
             queue.release(ticket, server_id)
-        queue.holds.observe(self._clock.monotonic_s() - started_s)
+        queue.holds[ticket.kind].observe(self._clock.monotonic_s() - started_s)
         return response
 
     def _queue(self, spec: ServiceSpec) -> SlotQueue:
--- a/src/verbenawind/routing/slots.py
+++ b/src/verbenawind/routing/slots.py
@@ -3,16 +3,15 @@
 import asyncio
 from collections.abc import Callable, Hashable
 
-import msgspec
-
 from verbenawind.clock import Clock
 from verbenawind.errors import DeadlineExceeded, NoBackendServer, Overloaded
 from verbenawind.kernel.messages import WorkKind
 from verbenawind.routing.choice import Choice
 from verbenawind.routing.fair_queue import FairQueue
 from verbenawind.routing.holds import HoldTimes
+from verbenawind.routing.policy import RoutingPolicy
 
-__all__ = ["SlotQueue", "Ticket", "WaitPolicy"]
+__all__ = ["SlotQueue", "Ticket"]
 
 _PUMP_PERIOD_S = 0.05
 _UNSERVED_GRACE_S = 2.0
@@ -20,21 +19,6 @@
 _MAX_RETRY_AFTER_S = 30.0
 
 
-class WaitPolicy(msgspec.Struct, frozen=True, kw_only=True):
-    """Bounds on what may wait.
-
-    Args:
-        max_queued: Requests that may wait at this daemon for one pool or service.
-        fair: Whether callers share by weight and applications go first; otherwise first come,
-            first served.
-        shed: Whether a request that would miss its deadline is refused on arrival.
-    """
-
-    max_queued: int = 20_000
-    fair: bool = True
-    shed: bool = True
-
-
 class Ticket:
     """A request's wait for its turn.
 
@@ -110,10 +94,9 @@
         "_name",
         "_policy",
         "_pumper",
-        "_served_at_s",
         "holds",
         "in_flight",
-        "kinds_in_flight",
+        "kind_in_flight",
     )
 
     def __init__(
@@ -121,7 +104,7 @@
         name: str,
         clock: Clock,
         choose: Callable[[Ticket], Choice],
-        policy: WaitPolicy,
+        policy: RoutingPolicy,
     ) -> None:
         self._name = name
         self._clock = clock
@@ -129,10 +112,9 @@
         self._policy = policy
         self._lanes: dict[tuple[WorkKind, Hashable], FairQueue[Ticket]] = {}
         self._pumper: asyncio.Task[None] | None = None
-        self._served_at_s = clock.monotonic_s()
-        self.holds = HoldTimes()
+        self.holds = {kind: HoldTimes() for kind in WorkKind}
         self.in_flight: dict[str, int] = {}
-        self.kinds_in_flight: dict[tuple[str, WorkKind], int] = {}
+        self.kind_in_flight = dict.fromkeys(WorkKind, 0)
 
     def queued(self, kind: WorkKind | None = None) -> int:
         """Return how many requests wait, of one kind if given."""
@@ -140,7 +122,15 @@
 
     def total_in_flight(self) -> int:
         """Return how many requests hold a slot."""
-        return sum(self.in_flight.values())
+        return sum(self.kind_in_flight.values())
+
+    def turns_per_s(self) -> float:
+        """Return how many slots are likely to come free each second; 0 when unknown."""
+        return sum(
+            self.kind_in_flight[kind] / holds.mean_s
+            for kind, holds in self.holds.items()
+            if holds.mean_s
+        )
 
     async def acquire(self, ticket: Ticket) -> Choice:
         """Wait for a server and count the ticket as in flight there.
@@ -170,7 +160,7 @@
     def release(self, ticket: Ticket, server_id: str) -> None:
         """Count a ticket out and let the next ones in."""
         self.in_flight[server_id] -= 1
-        self.kinds_in_flight[(server_id, ticket.kind)] -= 1
+        self.kind_in_flight[ticket.kind] -= 1
         if not self.in_flight[server_id]:
             del self.in_flight[server_id]
         self.pump()
@@ -201,9 +191,8 @@
                 ahead += lane.ahead_of(self._flow(ticket), ticket.weight)
             elif kind is WorkKind.APPLICATION:
                 ahead += len(lane)
-        if not ahead:
-            return 0.0
-        return (ahead + 1.0) * self.holds.mean_s / max(1, self.total_in_flight())
+        rate = self.turns_per_s()
+        return (ahead + 1.0) / rate if ahead and rate else 0.0
 
     async def _granted(
         self, ticket: Ticket, lane: FairQueue[Ticket], future: asyncio.Future[Choice]
@@ -248,7 +237,7 @@
         if not self._policy.shed:
             return
         wait_s = self.predicted_wait_s(ticket)
-        if wait_s and wait_s + self.holds.likely_s() > remaining_s:
+        if wait_s and wait_s + self.holds[ticket.kind].likely_s() > remaining_s:
             raise Overloaded(
                 f"{self._name} would start request {ticket.request_id} in {wait_s:.3f} s, "
                 f"its deadline is in {remaining_s:.3f} s",
@@ -257,8 +246,8 @@
 
     def _retry_after_s(self, wait_s: float | None = None) -> float:
         if wait_s is None:
-            slots = max(1, self.total_in_flight())
-            wait_s = self.queued(WorkKind.APPLICATION) * self.holds.mean_s / slots
+            rate = self.turns_per_s()
+            wait_s = self.queued(WorkKind.APPLICATION) / rate if rate else 0.0
         return round(min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s / 2)), 3)
 
     def _fail_unserved(self, ticket: Ticket, choice: Choice) -> None:
@@ -267,7 +256,7 @@
             return
         if now_s - max(ticket.since_s, 0.0) < _UNSERVED_GRACE_S:
             return
-        self._lanes[(ticket.kind, ticket.lane)].pop()
+        self._lane(ticket).pop()
         future, ticket.future = ticket.future, None
         future.set_exception(
             NoBackendServer(
@@ -294,12 +283,11 @@
         remaining_s = ticket.deadline_s - self._clock.monotonic_s()
         if not self._policy.shed or ticket.resumed:
             return remaining_s <= 0
-        return remaining_s <= self.holds.mean_s
+        return remaining_s <= self.holds[ticket.kind].mean_s
 
     def _enter(self, ticket: Ticket, server_id: str) -> None:
         self.in_flight[server_id] = self.in_flight.get(server_id, 0) + 1
-        key = (server_id, ticket.kind)
-        self.kinds_in_flight[key] = self.kinds_in_flight.get(key, 0) + 1
+        self.kind_in_flight[ticket.kind] += 1
 
     def _lane(self, ticket: Ticket) -> FairQueue[Ticket]:
         key = (ticket.kind if self._policy.fair else WorkKind.APPLICATION, ticket.lane)
