Spread revisions between daemons and resolve what operators asked

Daemons learned revisions from the table alone, by a scan each second and daemon, and a daemon without the platform had none although its peers did. Now an accepted revision travels with its document, the table is scanned every 5 s by up to ten daemons and proportionally more rarely beyond, and a daemon is ready once the table or a peer has told it what is in force. The history row is written once and settles lost answers; a repeated apply returns what was accepted.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -38,7 +38,6 @@
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
-_CONFIGURATION_PERIOD_S = 1.0
 
 
 class Core:
@@ -75,8 +74,9 @@
             rng=rng,
             peers=self.peers,
             zone=settings.zone,
+            expects_peers=bool(settings.peer_seeds),
         )
-        self.configuration = ConfigurationStore(self.table, clock)
+        self.configuration = ConfigurationStore(self.table, clock, rng=rng, peers=self.peers)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clients=outside.clients,
@@ -111,7 +111,7 @@
     @property
     def ready(self) -> bool:
         """Whether the daemon takes new work."""
-        return self._ready and not self.peers.superseded
+        return self._ready and self.configuration.informed and not self.peers.superseded
 
     @ready.setter
     def ready(self, ready: bool) -> None:
@@ -123,7 +123,7 @@
         await self.peers.start()
         await self._refresh_configuration()
         await self.watcher.refresh()
-        for work in (self.watcher.run(), self.weights.run(), self._follow_configuration()):
+        for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
             self._tasks.append(asyncio.get_running_loop().create_task(work))
         self.ready = True
 
@@ -154,11 +154,6 @@
         except StoreUnavailable as error:
             self._log.warning("configuration_unavailable", error=error.message)
 
-    async def _follow_configuration(self) -> None:
-        while True:
-            await self.outside.clock.sleep(_CONFIGURATION_PERIOD_S)
-            await self._refresh_configuration()
-
 
 class Daemon:
     """A core behind its HTTP server.
--- a/src/verbenawind/state/configuration.py
+++ b/src/verbenawind/state/configuration.py
@@ -1,18 +1,36 @@
 """Environment revisions: accepted by one conditional write, never going back."""
 
 from collections.abc import Callable, Sequence
+from random import Random
 
 import msgspec
+import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.document import EnvironmentDocument, EnvironmentRevision, Stage, document_digest
-from verbenawind.errors import ConditionFailed, RevisionConflict, UnknownEnvironment
+from verbenawind.document import (
+    EnvironmentDocument,
+    EnvironmentRevision,
+    Stage,
+    document_difference,
+    document_digest,
+)
+from verbenawind.errors import (
+    ConditionFailed,
+    RevisionConflict,
+    StoreUnavailable,
+    UnknownEnvironment,
+)
 from verbenawind.ids import new_id
-from verbenawind.kernel.ports import Row, TableStore, Transaction, Write
+from verbenawind.kernel.ports import PeerBus, Row, TableStore, Transaction, Write
+from verbenawind.state.spreading import RevisionSpreader
 
 __all__ = ["ConfigurationStore"]
 
 _PREFIX = "config/"
+_SCAN_LIMIT = 1000
+_UNINFORMED_PERIOD_S = 2.0
+_MIN_PERIOD_S = 5.0
+_PERIOD_PER_DAEMON_S = 0.5
 
 
 class ConfigurationStore:
@@ -21,15 +39,37 @@
     Args:
         table: The table service's client.
         clock: Time source.
+        rng: Jitter of the polls.
+        peers: The peer bus, by which daemons tell each other of revisions.
     """
 
-    __slots__ = ("_clock", "_current", "_listeners", "_table")
+    __slots__ = (
+        "_clock",
+        "_current",
+        "_informed",
+        "_listeners",
+        "_log",
+        "_peers",
+        "_rng",
+        "_spreader",
+        "_table",
+    )
 
-    def __init__(self, table: TableStore, clock: Clock) -> None:
+    def __init__(self, table: TableStore, clock: Clock, *, rng: Random, peers: PeerBus) -> None:
         self._table = table
         self._clock = clock
+        self._rng = rng
+        self._peers = peers
         self._current: dict[tuple[str, str], EnvironmentRevision] = {}
+        self._informed = False
         self._listeners: list[Callable[[EnvironmentRevision], None]] = []
+        self._spreader = RevisionSpreader(peers, clock, self.learn, self.environments)
+        self._log = structlog.get_logger("configuration")
+
+    @property
+    def informed(self) -> bool:
+        """Whether the table or a peer has told what is in force."""
+        return self._informed
 
     def current(self, environment: str, stage: str) -> EnvironmentRevision | None:
         """Return the revision in force, None when none is known."""
@@ -43,21 +83,47 @@
         """Call *listener* with each revision that comes into force."""
         self._listeners.append(listener)
 
-    def learn(self, revision: EnvironmentRevision) -> bool:
+    def learn(self, revision: EnvironmentRevision, source: str = "table") -> bool:
         """Put a revision into force unless a newer one is known; return whether it was new."""
         key = (revision.environment, str(revision.stage))
+        self._informed = True
         known = self._current.get(key)
         if known is not None and known.revision >= revision.revision:
             return False
         self._current[key] = revision
+        self._log.info(
+            "revision_in_force",
+            environment=revision.name,
+            revision=revision.revision,
+            digest=revision.digest,
+            reason=f"learned from {source}",
+        )
         for listener in self._listeners:
             listener(revision)
+        self._spreader.spread(revision)
         return True
 
     async def refresh(self) -> None:
         """Take in what the table holds; raises StoreUnavailable."""
-        for row in await self._table.scan(f"{_PREFIX}head/"):
-            self.learn(_decode(row))
+        prefix, after = f"{_PREFIX}head/", ""
+        while True:
+            rows = await self._table.scan(prefix, after=after, limit=_SCAN_LIMIT)
+            for row in rows:
+                self.learn(_decode(row))
+            if len(rows) < _SCAN_LIMIT:
+                break
+            after = rows[-1].key
+        self._informed = True
+
+    async def run(self) -> None:
+        """Follow the table until cancelled; the more daemons there are, the rarer each asks."""
+        while True:
+            await self._clock.sleep(self._period_s() * self._rng.uniform(0.75, 1.25))
+            self._spreader.tick()
+            try:
+                await self.refresh()
+            except StoreUnavailable as error:
+                self._log.warning("configuration_unavailable", reason=error.message)
 
     async def accept(
         self,
@@ -69,42 +135,49 @@
     ) -> EnvironmentRevision:
         """Make *document* the next revision of a stage.
 
+        A repeat of an apply that was accepted, although its answer got lost, returns the accepted
+        revision.
+
         Raises:
             RevisionConflict: Another revision than *expect_revision* is in force.
-            StoreUnavailable: The table gave no answer.
+            StoreUnavailable: The table gave no answer; ``effect_possible`` says whether the
+                document may have been accepted all the same.
         """
-        head_key = f"{_PREFIX}head/{document.environment}/{stage}"
-        head = (await self._table.read([head_key])).get(head_key)
+        head = await self._head(document.environment, stage)
         current = _decode(head) if head else None
         number = current.revision if current else 0
+        digest = document_digest(document)
         if expect_revision is not None and expect_revision != number:
-            raise self._conflict(document.environment, stage, number)
+            if current and expect_revision == number - 1 and current.digest == digest:
+                self.learn(current)
+                return current
+            raise self._conflict(document, stage, current)
         revision = EnvironmentRevision(
             environment=document.environment,
             stage=stage,
             revision=number + 1,
-            digest=document_digest(document),
+            digest=digest,
             document=document,
             accepted_at=self._clock.now(),
             author=author,
         )
-        value = msgspec.json.encode(revision)
-        history_key = f"{_PREFIX}history/{document.environment}/{stage}/{number + 1:010}"
-        writes = (
-            Write(key=head_key, value=value, expect_version=head.version if head else 0),
-            Write(key=history_key, value=value, expect_version=0),
-        )
         try:
-            await self._table.commit(Transaction(operation_id=new_id("op"), writes=writes))
+            await self._commit(revision, head)
         except ConditionFailed as error:
-            raise self._conflict(document.environment, stage, number + 1) from error
-        self.learn(revision)
+            raise await self._overtaken(document, stage, number + 1) from error
+        self.learn(revision, "the operator")
         return revision
 
     async def history(self, environment: str, stage: Stage) -> Sequence[EnvironmentRevision]:
         """Return every accepted revision of a stage, oldest first."""
-        rows = await self._table.scan(f"{_PREFIX}history/{environment}/{stage}/")
-        return [_decode(row) for row in rows]
+        prefix, after = f"{_PREFIX}history/{environment}/{stage}/", ""
+        revisions: list[EnvironmentRevision] = []
+        while True:
+            rows = await self._table.scan(prefix, after=after, limit=_SCAN_LIMIT)
+            revisions += [_decode(row) for row in rows]
+            if len(rows) < _SCAN_LIMIT:
+                return revisions
+            after = rows[-1].key
 
     async def revision(self, environment: str, stage: Stage, number: int) -> EnvironmentRevision:
         """Return one accepted revision.
@@ -112,18 +185,74 @@
         Raises:
             UnknownEnvironment: There is no such revision.
         """
-        key = f"{_PREFIX}history/{environment}/{stage}/{number:010}"
+        key = _history_key(environment, stage, number)
         row = (await self._table.read([key])).get(key)
         if row is None:
             raise UnknownEnvironment(f"{environment}/{stage} has no revision {number}")
         return _decode(row)
 
-    @staticmethod
-    def _conflict(environment: str, stage: Stage, number: int) -> RevisionConflict:
+    async def _head(self, environment: str, stage: Stage) -> Row | None:
+        key = _head_key(environment, stage)
+        return (await self._table.read([key])).get(key)
+
+    async def _commit(self, revision: EnvironmentRevision, head: Row | None) -> None:
+        """Write head and history; the history row is written once, so it settles lost answers."""
+        value = msgspec.json.encode(revision)
+        environment, stage = revision.environment, revision.stage
+        writes = (
+            Write(
+                key=_head_key(environment, stage),
+                value=value,
+                expect_version=head.version if head else 0,
+            ),
+            Write(
+                key=_history_key(environment, stage, revision.revision),
+                value=value,
+                expect_version=0,
+            ),
+        )
+        await self._table.commit(Transaction(operation_id=new_id("op"), writes=writes))
+
+    async def _overtaken(
+        self, document: EnvironmentDocument, stage: Stage, number: int
+    ) -> RevisionConflict:
+        try:
+            head = await self._head(document.environment, stage)
+        except StoreUnavailable:
+            return RevisionConflict(
+                f"{document.environment}/{stage}: revision {number} was accepted from another "
+                "operator first",
+                current_revision=number,
+            )
+        return self._conflict(document, stage, _decode(head) if head else None)
+
+    def _conflict(
+        self, document: EnvironmentDocument, stage: Stage, current: EnvironmentRevision | None
+    ) -> RevisionConflict:
+        if current is not None:
+            self.learn(current)
+        number = current.revision if current else 0
+        author = f" by {current.author!r}" if current and current.author else ""
+        changes = document_difference(current.document if current else None, document)
         return RevisionConflict(
-            f"{environment}/{stage} is at revision {number}", current_revision=number
+            f"{document.environment}/{stage} is at revision {number}{author}",
+            current_revision=number,
+            difference="\n".join(str(change) for change in changes),
         )
 
+    def _period_s(self) -> float:
+        if not self._informed:
+            return _UNINFORMED_PERIOD_S
+        return max(_MIN_PERIOD_S, _PERIOD_PER_DAEMON_S * (len(self._peers.peers()) + 1))
+
+
+def _head_key(environment: str, stage: Stage) -> str:
+    return f"{_PREFIX}head/{environment}/{stage}"
+
+
+def _history_key(environment: str, stage: Stage, number: int) -> str:
+    return f"{_PREFIX}history/{environment}/{stage}/{number:010}"
+
 
 def _decode(row: Row) -> EnvironmentRevision:
     return msgspec.json.decode(row.value, type=EnvironmentRevision)
--- a/src/verbenawind/state/contention.py
+++ b/src/verbenawind/state/contention.py
@@ -17,6 +17,8 @@
 _FAILURE_PAUSE_S = 0.5
 _SPREAD_PER_CONTENDER_S = 0.1
 _WATCH_SLACK_S = 0.2
+_MEETING_S = 1.5
+_FEW_CONTENDERS = 32
 
 
 class _Watch:
@@ -42,12 +44,25 @@
         rng: Jitter.
         peers: The peer bus.
         zone: This daemon's availability zone.
+        expects_peers: Whether the settings name other daemons.
     """
 
-    __slots__ = ("_clock", "_peers", "_rng", "_watches", "_zone")
-
-    def __init__(self, clock: Clock, rng: Random, peers: PeerBus, zone: str) -> None:
+    __slots__ = (
+        "_clock",
+        "_expects_peers",
+        "_peers",
+        "_rng",
+        "_seen_first_at_s",
+        "_watches",
+        "_zone",
+    )
+
+    def __init__(
+        self, clock: Clock, rng: Random, peers: PeerBus, zone: str, *, expects_peers: bool
+    ) -> None:
         self._zone = zone
+        self._expects_peers = expects_peers
+        self._seen_first_at_s: float | None = None
         self._clock = clock
         self._rng = rng
         self._peers = peers
@@ -58,7 +73,25 @@
     def may_read(self, name: str) -> bool:
         """Return whether it is time to read the lease's rows."""
         watch = self._watches.get(name)
-        return watch is None or self._clock.monotonic_s() >= watch.next_read_s
+        if watch is None:
+            watch = self._first_sight(name)
+        return self._clock.monotonic_s() >= watch.next_read_s
+
+    def _first_sight(self, name: str) -> _Watch:
+        """Begin a watch; where there are many contenders only two read at once."""
+        now_s = self._clock.monotonic_s()
+        if self._seen_first_at_s is None:
+            self._seen_first_at_s = now_s
+        watch = self._watches[name] = _Watch()
+        contenders = self._contenders(False)
+        if len(contenders) == 1 and self._expects_peers:
+            # At a restart of all daemons each has yet to meet the others.
+            watch.next_read_s = self._seen_first_at_s + _MEETING_S
+        elif len(contenders) > _FEW_CONTENDERS and self._peers.peer_id not in self._standbys(
+            name, "", contenders
+        ):
+            watch.next_read_s = now_s + self._rng.uniform(0.0, _SLOW_PERIOD_S)
+        return watch
 
     def lapsed(
         self, name: str, seen: tuple[int, int], duration_s: float, owner: str, zone_only: bool
--- a/src/verbenawind/state/leases.py
+++ b/src/verbenawind/state/leases.py
@@ -134,6 +134,7 @@
         rng: Jitter.
         peers: The peer bus, which spares contenders most reads.
         zone: This daemon's availability zone.
+        expects_peers: Whether the settings name other daemons.
     """
 
     def __init__(
@@ -145,12 +146,13 @@
         rng: Random,
         peers: PeerBus,
         zone: str,
+        expects_peers: bool = False,
     ) -> None:
         self._clock = clock
         self._owner = owner
         self._session = new_id("session")
         self._table = table
-        self._contention = Contention(clock, rng, peers, zone)
+        self._contention = Contention(clock, rng, peers, zone, expects_peers=expects_peers)
         self._held: dict[str, HeldLease] = {}
         self._acquiring: set[str] = set()
         self._renewing: asyncio.Task[None] | None = None
--- /dev/null
+++ b/tests/state/test_configuration.py
@@ -0,0 +1,218 @@
+"""Tests of configuration between daemons of one world, by produced failure."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from verbenawind.daemon import Core
+from verbenawind.document import EnvironmentDocument, EnvironmentRevision, Stage, parse_document
+from verbenawind.errors import RevisionConflict, StoreUnavailable
+from verbenawind.kernel.ports import Transaction
+from verbenawind.standins.network import PLATFORM
+from verbenawind.standins.world import World, run_virtual
+
+FORCE_S = 5.0
+
+
+def document(pool: str = "tuning") -> EnvironmentDocument:
+    return parse_document(f'{{"environment": "siam-fold", "pools": [{{"name": "{pool}"}}]}}')
+
+
+def run_world(
+    work: Callable[[World, list[Core]], Awaitable[Any]], *, daemons: int = 6, settle_s: float = 5.0
+) -> Any:
+    async def scenario() -> Any:
+        world = World()
+        cores = [world.add_daemon(f"daemon-{index}", zone_index=index) for index in range(daemons)]
+        for core in cores:
+            await core.start()
+        await asyncio.sleep(settle_s)
+        result = await work(world, cores)
+        await world.stop()
+        return result
+
+    return run_virtual(scenario())
+
+
+def revision(core: Core) -> int:
+    found = core.configuration.current("siam-fold", "production")
+    return found.revision if found else 0
+
+
+class TestAcceptance:
+    def test_in_force_everywhere_within_5_s(self) -> None:
+        """An accepted revision is in force on every daemon within 5 s, also without the table."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document(), Stage.PRODUCTION)
+            world.table.faults.down = True
+            await asyncio.sleep(FORCE_S)
+            assert [revision(core) for core in cores] == [1] * len(cores)
+
+        run_world(work)
+
+    def test_accepting_daemon_that_dies_at_once(self) -> None:
+        """A revision whose accepting daemon crashes at once is still in force within 10 s."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document(), Stage.PRODUCTION)
+            await cores[0].kill()
+            await asyncio.sleep(10.0)
+            assert [revision(core) for core in cores[1:]] == [1] * (len(cores) - 1)
+
+        run_world(work)
+
+    def test_racing_operators(self) -> None:
+        """Of two racing operators one is told the other's revision and the difference."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            results = await asyncio.gather(
+                cores[1].configuration.accept(
+                    document("b"), Stage.PRODUCTION, expect_revision=1, author="noi"
+                ),
+                cores[2].configuration.accept(document("c"), Stage.PRODUCTION, expect_revision=1),
+                return_exceptions=True,
+            )
+            won = [result for result in results if isinstance(result, EnvironmentRevision)]
+            lost = [result for result in results if isinstance(result, RevisionConflict)]
+            assert [item.revision for item in won] == [2]
+            assert lost[0].current_revision == 2
+            assert won[0].document.pools[0].name in lost[0].difference
+
+        run_world(work)
+
+    def test_lost_answer_is_resolved(self) -> None:
+        """An acceptance whose answer was lost is reported as accepted, once."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            world.table.faults.lose_answer_rate = 0.5
+            for number in range(1, 6):
+                accepted = await accept_until_known(cores[number], number)
+                assert accepted.revision == number
+            world.table.faults.lose_answer_rate = 0.0
+            assert len(await cores[0].configuration.history("siam-fold", Stage.PRODUCTION)) == 5
+
+        async def accept_until_known(core: Core, number: int) -> EnvironmentRevision:
+            for _ in range(20):
+                try:
+                    return await core.configuration.accept(
+                        document(f"p{number}"), Stage.PRODUCTION, expect_revision=number - 1
+                    )
+                except StoreUnavailable:
+                    await asyncio.sleep(1.0)
+            raise AssertionError("never known")
+
+        run_world(work)
+
+    def test_unheard_acceptance_is_not_called_refused(self) -> None:
+        """When the table falls silent after the effect, the operator learns that it may count."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            original = world.table.commit
+
+            async def silent(transaction: Transaction) -> None:
+                await original(transaction)
+                world.table.faults.down = True
+                raise StoreUnavailable("no answer", effect_possible=True)
+
+            world.table.commit = silent  # type: ignore[method-assign]
+            with pytest.raises(StoreUnavailable) as caught:
+                await cores[0].configuration.accept(document(), Stage.PRODUCTION)
+            assert caught.value.effect_possible
+            world.table.commit = original  # type: ignore[method-assign]
+            world.table.faults.down = False
+            await asyncio.sleep(10.0)
+            accepted = await cores[0].configuration.accept(
+                document(), Stage.PRODUCTION, expect_revision=0
+            )
+            assert accepted.revision == 1
+
+        run_world(work)
+
+
+class TestNeverBack:
+    def test_older_revision_is_ignored(self) -> None:
+        """A daemon that holds revision 2 ignores revision 1 from the table and from peers."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            first = await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            await cores[0].configuration.accept(document("b"), Stage.PRODUCTION)
+            await asyncio.sleep(FORCE_S)
+            assert not cores[3].configuration.learn(first)
+            assert [revision(core) for core in cores] == [2] * len(cores)
+
+        run_world(work)
+
+    def test_cut_off_zone_goes_on_and_catches_up(self) -> None:
+        """A zone cut off from all keeps its revision and takes the new one after the cut."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            await asyncio.sleep(FORCE_S)
+            zone = cores[0].settings.zone
+            for other in [PLATFORM, *(location.zone for location in world.locations)]:
+                if other != zone:
+                    world.network.cut(zone, other)
+            await cores[1].configuration.accept(document("b"), Stage.PRODUCTION)
+            await asyncio.sleep(30.0)
+            assert [revision(core) for core in cores] == [1, 2, 2, 1, 2, 2]
+            assert cores[0].ready
+            world.network.heal()
+            await asyncio.sleep(15.0)
+            assert [revision(core) for core in cores] == [2] * 6
+
+        run_world(work)
+
+
+class TestFreshDaemon:
+    def test_takes_the_peers_revision_while_the_platform_is_away(self) -> None:
+        """A daemon started without the platform is ready with its peers' highest revision."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            await cores[1].configuration.accept(document("b"), Stage.PRODUCTION)
+            world.table.faults.down = world.hosts.down = True
+            fresh = world.add_daemon("daemon-9", zone_index=1)
+            await fresh.start()
+            await asyncio.sleep(5.0)
+            assert fresh.ready
+            assert revision(fresh) == 2
+
+        run_world(work)
+
+    def test_stays_unready_until_it_learns(self) -> None:
+        """A daemon alone without the platform is unready until the platform returns."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            assert not any(core.ready for core in cores)
+            world.table.faults.down = False
+            await asyncio.sleep(10.0)
+            assert all(core.ready for core in cores)
+
+        async def scenario() -> None:
+            world = World()
+            world.table.faults.down = True
+            cores = [world.add_daemon("daemon-0")]
+            await cores[0].start()
+            await asyncio.sleep(20.0)
+            await work(world, cores)
+            await world.stop()
+
+        run_virtual(scenario())
+
+
+class TestStatus:
+    def test_every_daemon_tells_what_it_holds(self) -> None:
+        """Each daemon knows which revision every daemon has in force."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            await asyncio.sleep(10.0)
+            for core in cores:
+                held = {item.key: item.rank[0] for item in core.peers.items("revision-held")}
+                assert held == {f"daemon-{n}:siam-fold/production": 1 for n in range(6)}
+
+        run_world(work)
