--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -27,11 +27,13 @@
     "PeerUnreachable",
     "RateLimited",
     "RequestConvicted",
+    "RequestTooSlow",
     "RevisionConflict",
     "SettingsInvalid",
     "StepConflict",
     "StoreUnavailable",
     "StreamTruncated",
+    "TooLarge",
     "Unauthorized",
     "UnknownEnvironment",
     "UnknownResource",
@@ -138,6 +140,18 @@
     code = "invalid_request"
 
 
+class RequestTooSlow(InvalidRequest):
+    """Raised when a request's body did not arrive in time."""
+
+    code = "request_timeout"
+
+
+class TooLarge(InvalidRequest):
+    """Raised when a body or the headers of a request exceed their limit."""
+
+    code = "too_large"
+
+
 class RateLimited(VerbenawindError):
     """Raised when a caller exceeds its own rate or concurrency limit."""
 
