--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -94,7 +94,11 @@
             objects=self.objects,
             leases=self.leases,
             generator=self.dispatcher,
+            peers=self.peers,
+            fleet=self.fleet,
+            clients=outside.clients,
             clock=clock,
+            rng=rng,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
@@ -140,7 +144,7 @@
         self.ready = False
         self.leases.abandon()
         await self.peers.kill()
-        await self.rollouts.stop()
+        await self.rollouts.kill()
         await self._cancel_tasks()
 
     async def _cancel_tasks(self) -> None:
