Share the watching of engines and the host list between daemons

Every daemon probed every engine four times a second and read the whole host list each second. Now two daemons of an engine's zone probe it and spread versions, swaps and leaving at once and load in steps at a bounded rate; two daemons of each zone read the list and spread what changed. Of more than 16 servers of a group other zones learn 16, which bounds what a daemon holds.

A probe that was sent before a peer's newer report arrived is dropped, so that an order's result does not go back. A list that loses most of its servers at once is believed only after ten reads.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -18,7 +18,7 @@
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import GossipBus
+from verbenawind.membership import FleetWatcher, GossipBus
 from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
@@ -30,7 +30,6 @@
 )
 from verbenawind.rollout import Rollouts
 from verbenawind.routing import Dispatcher, RoutingPolicy
-from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
 from verbenawind.weights import WeightsController
@@ -88,7 +87,14 @@
             peers=self.peers,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
-        self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
+        self.watcher = FleetWatcher(
+            fleet=self.fleet,
+            hosts=outside.hosts,
+            clients=outside.clients,
+            peers=self.peers,
+            clock=clock,
+            rng=rng,
+        )
         self.rollouts = Rollouts(
             table=self.table,
             objects=self.objects,
--- a/src/verbenawind/kernel/fleet.py
+++ b/src/verbenawind/kernel/fleet.py
@@ -1,31 +1,24 @@
 """The daemon's soft view of the backend servers: who exists, who leaves, what they report."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from verbenawind.clock import Clock
 from verbenawind.kernel.messages import (
     BackendKind,
     BackendServer,
     EngineStatus,
-    HostEntry,
-    HostRole,
-    HostState,
     Location,
 )
 
 __all__ = ["Fleet", "ServerView"]
 
-_BACKEND_KINDS = {
-    HostRole.ENGINE: BackendKind.ENGINE,
-    HostRole.SERVICE: BackendKind.SERVICE,
-    HostRole.SCORING: BackendKind.SCORING,
-}
+_OWN_OBSERVATION_S = 1.0
 
 
 class ServerView:
     """What is believed of one incarnation of one backend server."""
 
-    __slots__ = ("leaving", "server", "status", "status_at_s", "suspected_until_s")
+    __slots__ = ("leaving", "observed_at_s", "server", "status", "status_at_s", "suspected_until_s")
 
     def __init__(self, server: BackendServer) -> None:
         self.server = server
@@ -33,6 +26,7 @@
         self.suspected_until_s = 0.0
         self.status: EngineStatus | None = None
         self.status_at_s = 0.0
+        self.observed_at_s = float("-inf")
 
     def usable(self, now_s: float) -> bool:
         """Return whether new work may go to the server at monotonic time *now_s*."""
@@ -47,7 +41,14 @@
         location: Where this daemon runs.
     """
 
-    __slots__ = ("_clock", "_groups", "_leaving_listeners", "_views", "location")
+    __slots__ = (
+        "_clock",
+        "_groups",
+        "_leaving_listeners",
+        "_observation_listeners",
+        "_views",
+        "location",
+    )
 
     def __init__(self, clock: Clock, location: Location) -> None:
         self._clock = clock
@@ -55,6 +56,7 @@
         self._views: dict[str, ServerView] = {}
         self._groups: dict[tuple[BackendKind, str], dict[str, ServerView]] = {}
         self._leaving_listeners: list[Callable[[ServerView], None]] = []
+        self._observation_listeners: list[Callable[[EngineStatus], None]] = []
 
     def view(self, server_id: str) -> ServerView | None:
         """Return the view of one server, None when it is unknown."""
@@ -68,29 +70,6 @@
         """Return every view."""
         return tuple(self._views.values())
 
-    def apply_hosts(self, hosts: Iterable[HostEntry]) -> None:
-        """Merge the platform's host list; servers it no longer lists are forgotten."""
-        listed = set()
-        for host in hosts:
-            kind = _BACKEND_KINDS.get(host.role)
-            if kind is None:
-                continue
-            listed.add(host.host_id)
-            view = self.add(
-                BackendServer(
-                    server_id=host.host_id,
-                    kind=kind,
-                    group=host.group,
-                    address=host.address,
-                    location=host.location,
-                    incarnation=host.incarnation,
-                )
-            )
-            if host.state is HostState.LEAVING and host.incarnation >= view.server.incarnation:
-                self.mark_leaving(host.host_id, host.incarnation)
-        for server_id in self._views.keys() - listed:
-            self.forget(server_id)
-
     def add(self, server: BackendServer) -> ServerView:
         """Add a server, or replace its view when the incarnation is newer."""
         known = self._views.get(server.server_id)
@@ -110,10 +89,27 @@
             del self._groups[(view.server.kind, view.server.group)][server_id]
 
     def observe(self, status: EngineStatus) -> None:
-        """Take in an engine's own report, which may carry a newer incarnation."""
+        """Take in what an engine reported to this daemon; it may carry a newer incarnation."""
+        view = self._take_in(status)
+        if view is None:
+            return
+        view.observed_at_s = view.status_at_s
+        for listener in self._observation_listeners:
+            listener(status)
+
+    def learn(self, status: EngineStatus) -> None:
+        """Take in a report that a peer observed, unless this daemon has a fresher one."""
         view = self._views.get(status.server_id)
-        if view is None or status.incarnation < view.server.incarnation:
+        if view is None:
             return
+        fresh = self._clock.monotonic_s() - view.observed_at_s < _OWN_OBSERVATION_S
+        if not fresh or status.leaving or status.incarnation > view.server.incarnation:
+            self._take_in(status)
+
+    def _take_in(self, status: EngineStatus) -> ServerView | None:
+        view = self._views.get(status.server_id)
+        if view is None or status.incarnation < view.server.incarnation:
+            return None
         if status.incarnation > view.server.incarnation:
             view = self.add(_with_incarnation(view.server, status.incarnation))
         view.status = status
@@ -121,6 +117,7 @@
         view.suspected_until_s = 0.0
         if status.leaving:
             self.mark_leaving(status.server_id, status.incarnation)
+        return view
 
     def mark_leaving(self, server_id: str, incarnation: int) -> None:
         """Stop new work to a server; sticky for that incarnation."""
@@ -141,6 +138,10 @@
         """Call *listener* once for each server that starts to leave."""
         self._leaving_listeners.append(listener)
 
+    def on_observed(self, listener: Callable[[EngineStatus], None]) -> None:
+        """Call *listener* with each report that this daemon observed itself."""
+        self._observation_listeners.append(listener)
+
 
 def _with_incarnation(server: BackendServer, incarnation: int) -> BackendServer:
     return BackendServer(
--- a/src/verbenawind/membership/__init__.py
+++ b/src/verbenawind/membership/__init__.py
@@ -1,6 +1,7 @@
-"""What daemons know of each other."""
+"""What daemons know of each other and of the backend servers."""
 
 from verbenawind.membership.bus import GossipBus
 from verbenawind.membership.dialling import Seed
+from verbenawind.membership.watching import FleetWatcher
 
-__all__ = ["GossipBus", "Seed"]
+__all__ = ["FleetWatcher", "GossipBus", "Seed"]
--- /dev/null
+++ b/src/verbenawind/membership/servers.py
@@ -0,0 +1,278 @@
+"""Which backend servers exist: the host list, read by few daemons and shared by all."""
+
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from random import Random
+
+import cbor2
+import msgspec
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import StoreUnavailable
+from verbenawind.kernel import Fleet, ServerView
+from verbenawind.kernel.messages import (
+    BackendKind,
+    BackendServer,
+    HostEntry,
+    HostRole,
+    HostState,
+    Location,
+)
+from verbenawind.kernel.ports import HostList, SpreadItem
+from verbenawind.membership.bus import GossipBus
+from verbenawind.membership.dialling import Seed
+from verbenawind.membership.topology import rendezvous
+
+__all__ = ["LEAVING_KIND", "ServerDirectory"]
+
+LEAVING_KIND = "leaving"
+_KIND_IN_ZONE = "server"
+_KIND_REMOTE = "server-remote"
+_READERS_PER_ZONE = 2
+_READER_PERIOD_S = 1.5
+_OTHERS_PERIOD_S = 45.0
+_SHOWN_TO_OTHER_ZONES = 16
+_CONFIRMATIONS = 2
+_MASS_LOSS_CONFIRMATIONS = 10
+_GONE_EXPIRY_S = 3600.0
+_GONE_KEPT = 1024
+_BACKEND_KINDS = {
+    HostRole.ENGINE: BackendKind.ENGINE,
+    HostRole.SERVICE: BackendKind.SERVICE,
+    HostRole.SCORING: BackendKind.SCORING,
+}
+
+
+class _State(StrEnum):
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class _Body(msgspec.Struct, frozen=True, array_like=True):
+    kind: BackendKind
+    group: str
+    address: str
+    zone: str
+    region: str
+    state: _State
+
+
+class _Known(msgspec.Struct, frozen=True):
+    rank: tuple[int, ...]
+    body: _Body
+
+
+class ServerDirectory:
+    """Keeps the fleet's servers as the host list and the peers tell.
+
+    Two daemons of each zone read the list often and spread what changes for the servers of
+    their zone, the others seldom. Other zones see a bounded part of a large group.
+
+    Args:
+        fleet: The view to keep.
+        hosts: The platform's host list.
+        peers: The peer bus.
+        clock: Time source.
+        rng: Jitter.
+    """
+
+    __slots__ = ("_clock", "_doubts", "_fleet", "_hosts", "_known", "_log", "_peers", "_rng")
+
+    def __init__(
+        self, fleet: Fleet, hosts: HostList, peers: GossipBus, clock: Clock, rng: Random
+    ) -> None:
+        self._fleet = fleet
+        self._hosts = hosts
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._known: dict[str, _Known] = {}
+        self._doubts: dict[str, int] = {}
+        self._log = structlog.get_logger("membership")
+        for kind in (_KIND_IN_ZONE, _KIND_REMOTE):
+            peers.on_item(kind, self._on_server)
+        peers.on_item(LEAVING_KIND, self._on_leaving)
+        fleet.on_leaving(self._spread_leaving)
+
+    def shown_to_other_zones(self, server: BackendServer) -> bool:
+        """Return whether other zones learn of a server; of a large group they see a part."""
+        siblings = [view.server for view in self._fleet.group(server.kind, server.group)]
+        ids = [
+            sibling.server_id
+            for sibling in siblings
+            if sibling.location.zone == server.location.zone
+        ]
+        if len(ids) <= _SHOWN_TO_OTHER_ZONES:
+            return True
+        key = f"{server.location.zone}/{server.group}"
+        return server.server_id in rendezvous(key, ids, _SHOWN_TO_OTHER_ZONES)
+
+    def cares_for(self, zone: str) -> bool:
+        """Return whether this daemon speaks for a zone: its own, or one without daemons."""
+        return zone == self._fleet.location.zone or zone not in self._peers.roster.by_zone()
+
+    async def run(self) -> None:
+        """Read the host list until cancelled."""
+        while True:
+            await self._clock.sleep(self._period_s() * self._rng.uniform(0.75, 1.25))
+            await self.refresh()
+
+    async def refresh(self) -> None:
+        """Read the host list once."""
+        try:
+            entries = await self._hosts.hosts()
+        except StoreUnavailable as error:
+            self._log.warning("host_list_unavailable", reason=error.message)
+            return
+        self._peers.add_seeds(
+            [
+                Seed(address=entry.address, zone=entry.location.zone)
+                for entry in entries
+                if entry.role is HostRole.DAEMON and entry.host_id != self._peers.peer_id
+            ]
+        )
+        servers = {entry.host_id: entry for entry in entries if entry.role in _BACKEND_KINDS}
+        for entry in servers.values():
+            if self.cares_for(entry.location.zone):
+                self._take_entry(entry)
+        self._take_absences(servers)
+
+    def _period_s(self) -> float:
+        own_id, zone = self._peers.peer_id, self._fleet.location.zone
+        daemons = [*self._peers.roster.by_zone().get(zone, ()), own_id]
+        if own_id in rendezvous(f"hosts/{zone}", daemons, _READERS_PER_ZONE):
+            return _READER_PERIOD_S
+        return _OTHERS_PERIOD_S
+
+    def _take_entry(self, entry: HostEntry) -> None:
+        body = _Body(
+            kind=_BACKEND_KINDS[entry.role],
+            group=entry.group,
+            address=entry.address,
+            zone=entry.location.zone,
+            region=entry.location.region,
+            state=_State.LEAVING if entry.state is HostState.LEAVING else _State.LIVE,
+        )
+        known = self._known.get(entry.host_id)
+        if known is None or entry.incarnation > known.rank[0]:
+            self._publish(entry.host_id, (entry.incarnation, 0), body)
+        elif entry.incarnation < known.rank[0] or body == known.body:
+            self._doubts.pop(entry.host_id, None)
+        elif body.state is _State.LEAVING or self._confirmed(entry.host_id, _CONFIRMATIONS):
+            self._publish(entry.host_id, (known.rank[0], known.rank[1] + 1), body)
+
+    def _take_absences(self, listed: Mapping[str, HostEntry]) -> None:
+        known = [
+            server_id
+            for server_id, known in self._known.items()
+            if known.body.state is not _State.GONE and self.cares_for(known.body.zone)
+        ]
+        absent = [server_id for server_id in known if server_id not in listed]
+        needed = _CONFIRMATIONS
+        if len(absent) > 1 and 2 * len(absent) > len(known):
+            # A list that lost most servers at once is more likely wrong than they are gone.
+            self._log.warning("host_list_doubted", absent=len(absent), known=len(known))
+            needed = _MASS_LOSS_CONFIRMATIONS
+        for server_id in absent:
+            if self._confirmed(server_id, needed):
+                rank, body = self._known[server_id].rank, self._known[server_id].body
+                gone = msgspec.structs.replace(body, state=_State.GONE)
+                self._publish(server_id, (rank[0], rank[1] + 1), gone)
+
+    def _confirmed(self, server_id: str, needed: int) -> bool:
+        self._doubts[server_id] = self._doubts.get(server_id, 0) + 1
+        if self._doubts[server_id] < needed:
+            return False
+        del self._doubts[server_id]
+        return True
+
+    def _publish(self, server_id: str, rank: tuple[int, ...], body: _Body) -> None:
+        expires_at_s = 0.0
+        if body.state is _State.GONE:
+            expires_at_s = self._clock.now().timestamp() + _GONE_EXPIRY_S
+        for kind in self._kinds(server_id, body):
+            self._peers.spread(
+                SpreadItem(
+                    kind=kind,
+                    key=server_id,
+                    rank=rank,
+                    body=cbor2.dumps(msgspec.to_builtins(body)),
+                    expires_at_s=expires_at_s,
+                )
+            )
+
+        leaving = self._peers.store.get(LEAVING_KIND, server_id)
+        outlived = leaving is not None and (body.state is _State.GONE or rank[0] > leaving.rank[0])
+        if outlived and leaving is not None and leaving.expires_at_s == 0.0:
+            until_s = self._clock.now().timestamp() + _GONE_EXPIRY_S
+            self._peers.spread(msgspec.structs.replace(leaving, expires_at_s=until_s))
+
+    def _kinds(self, server_id: str, body: _Body) -> Sequence[str]:
+        """Return the kind that fits, and any under which an older item is about."""
+        shown = self.shown_to_other_zones(_server(server_id, 0, body))
+        fitting = _KIND_REMOTE if shown else _KIND_IN_ZONE
+        return [
+            kind
+            for kind in (_KIND_IN_ZONE, _KIND_REMOTE)
+            if kind == fitting or self._peers.store.get(kind, server_id) is not None
+        ]
+
+    def _on_server(self, item: SpreadItem) -> None:
+        known = self._known.get(item.key)
+        if known is not None and known.rank >= item.rank:
+            return
+        body = msgspec.convert(cbor2.loads(item.body), type=_Body)
+        self._known[item.key] = _Known(item.rank, body)
+        view = self._fleet.view(item.key)
+        if body.state is _State.GONE:
+            self._fleet.forget(item.key)
+            self._forget_old()
+            return
+        if view is not None and view.server.address != body.address:
+            self._fleet.forget(item.key)
+        self._fleet.add(_server(item.key, item.rank[0], body))
+        if body.state is _State.LEAVING:
+            self._fleet.mark_leaving(item.key, item.rank[0])
+        leaving = self._peers.store.get(LEAVING_KIND, item.key)
+        if leaving is not None:
+            self._on_leaving(leaving)
+
+    def _forget_old(self) -> None:
+        """Drop the oldest servers that are gone; the newest ones' ranks are still needed."""
+        gone = [
+            server_id for server_id, known in self._known.items() if known.body.state is _State.GONE
+        ]
+        for server_id in gone[:-_GONE_KEPT]:
+            del self._known[server_id]
+
+    def _on_leaving(self, item: SpreadItem) -> None:
+        self._fleet.mark_leaving(item.key, item.rank[0])
+
+    def _spread_leaving(self, view: ServerView) -> None:
+        self._log.info(
+            "server_leaving",
+            server=view.server.server_id,
+            incarnation=view.server.incarnation,
+            reason="its report, the host list, a drain or a peer",
+        )
+        self._peers.spread(
+            SpreadItem(
+                kind=LEAVING_KIND,
+                key=view.server.server_id,
+                rank=(view.server.incarnation,),
+                body=b"",
+            )
+        )
+
+
+def _server(server_id: str, incarnation: int, body: _Body) -> BackendServer:
+    return BackendServer(
+        server_id=server_id,
+        kind=body.kind,
+        group=body.group,
+        address=body.address,
+        location=Location(zone=body.zone, region=body.region),
+        incarnation=incarnation,
+    )
--- a/src/verbenawind/membership/store.py
+++ b/src/verbenawind/membership/store.py
@@ -31,6 +31,8 @@
 _CLASS_OF_KIND = {
     "engine": ItemClass.BULK_IN_ZONE,
     "engine-remote": ItemClass.BULK,
+    "server": ItemClass.BULK_IN_ZONE,
+    "server-remote": ItemClass.BULK,
     "revision-held": ItemClass.BULK,
 }
 
--- /dev/null
+++ b/src/verbenawind/membership/watching.py
@@ -0,0 +1,322 @@
+"""Each engine is probed by a few daemons, which spread what changed."""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+
+import cbor2
+import msgspec
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import VerbenawindError
+from verbenawind.kernel import Fleet, ServerView
+from verbenawind.kernel.messages import BackendKind, EngineStatus, ModelStatus, SwapState
+from verbenawind.kernel.ports import BackendClients, HostList, SpreadItem
+from verbenawind.membership.bus import GossipBus
+from verbenawind.membership.servers import ServerDirectory
+from verbenawind.membership.topology import rendezvous
+
+__all__ = ["FleetWatcher"]
+
+_KIND_IN_ZONE = "engine"
+_KIND_REMOTE = "engine-remote"
+_SUSPECT_KIND = "server-suspect"
+_WATCHERS_PER_ENGINE = 2
+_MAX_WATCHED = 64
+_MIN_PERIOD_S = 0.25
+_PERIOD_PER_ENGINE_S = 0.04
+_PROBE_TIMEOUT_S = 1.0
+_RECONCILE_PERIOD_S = 0.5
+_FAILURES_TO_SUSPECT = 2
+_SUSPECT_S = 6.0
+_SUSPECT_REFRESH_S = 3.0
+_LOAD_UPDATES_PER_S = 10.0
+_MIN_LOAD_SPACING_S = 0.5
+_RANKS_KEPT = 16_384
+
+
+class _Summary(msgspec.Struct, frozen=True, array_like=True):
+    """An engine's report on the wire."""
+
+    running: int
+    waiting: int
+    max_running: int
+    leaving: bool
+    fencing_number: int
+    models: tuple[tuple[str, int | None, tuple[int, ...], SwapState], ...]
+
+
+class _Watched:
+    """What this daemon spread of one engine."""
+
+    __slots__ = ("failures", "load_at_s", "suspect_at_s")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.load_at_s = float("-inf")
+        self.suspect_at_s = float("-inf")
+
+
+class FleetWatcher:
+    """Keeps the fleet fresh from the host list, from probes and from peers.
+
+    Args:
+        fleet: The view to keep fresh.
+        hosts: The platform's host list.
+        clients: Clients of the engines.
+        peers: The peer bus.
+        clock: Time source.
+        rng: Jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        hosts: HostList,
+        clients: BackendClients,
+        peers: GossipBus,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._clients = clients
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._directory = ServerDirectory(fleet, hosts, peers, clock, rng)
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._watched: dict[str, _Watched] = {}
+        self._merged_at_s: dict[str, float] = {}
+        self._ranks: dict[str, tuple[int, ...]] = {}
+        self._assignment: tuple[object, ...] = ()
+        self._log = structlog.get_logger("membership")
+        fleet.on_observed(self._on_observed)
+        for kind in (_KIND_IN_ZONE, _KIND_REMOTE):
+            peers.on_item(kind, self._on_engine)
+            peers.on_item(kind.replace("engine", "server"), self._on_server)
+        peers.on_item(_SUSPECT_KIND, self._on_suspect)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._directory.run())
+                tasks.create_task(self._reconcile_forever())
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def refresh(self) -> None:
+        """Read the host list once, and probe what this daemon watches."""
+        await self._directory.refresh()
+        await asyncio.gather(*(self._probe(server_id) for server_id in self._assigned()))
+
+    async def _reconcile_forever(self) -> None:
+        while True:
+            self._reconcile()
+            await self._clock.sleep(_RECONCILE_PERIOD_S)
+
+    def _reconcile(self) -> None:
+        zones = self._peers.roster.by_zone()
+        engines = frozenset(view.server for view in self._engines())
+        assignment = (engines, tuple(sorted((zone, tuple(ids)) for zone, ids in zones.items())))
+        if assignment == self._assignment:
+            return
+        self._assignment = assignment
+        assigned = set(self._assigned())
+        for server_id in self._tasks.keys() - assigned:
+            self._tasks.pop(server_id).cancel()
+            self._watched.pop(server_id, None)
+        for server_id in assigned - self._tasks.keys():
+            task = asyncio.get_running_loop().create_task(self._watch(server_id))
+            self._tasks[server_id] = task
+
+    def _engines(self) -> Sequence[ServerView]:
+        return [view for view in self._fleet.all() if view.server.kind is BackendKind.ENGINE]
+
+    def _assigned(self) -> Sequence[str]:
+        """Return the engines that this daemon probes, those of its own zone first."""
+        zones = self._peers.roster.by_zone()
+        everybody = [peer.peer_id for peer in self._peers.peers()]
+        own_id, own_zone = self._peers.peer_id, self._fleet.location.zone
+        assigned = []
+        for view in self._engines():
+            zone, server_id = view.server.location.zone, view.server.server_id
+            if not self._directory.cares_for(zone):
+                continue
+            others = zones.get(zone, ()) if zone == own_zone else everybody
+            watchers = rendezvous(server_id, [*others, own_id], _WATCHERS_PER_ENGINE)
+            if own_id in watchers:
+                assigned.append((zone != own_zone, server_id))
+        return [server_id for _, server_id in sorted(assigned)[:_MAX_WATCHED]]
+
+    async def _watch(self, server_id: str) -> None:
+        while True:
+            await self._probe(server_id)
+            period_s = max(_MIN_PERIOD_S, _PERIOD_PER_ENGINE_S * len(self._tasks))
+            await self._clock.sleep(period_s * self._rng.uniform(0.9, 1.1))
+
+    async def _probe(self, server_id: str) -> None:
+        view = self._fleet.view(server_id)
+        if view is None:
+            return
+        asked_at_s = self._clock.monotonic_s()
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                status = await self._clients.engine(view.server).status()
+        except (VerbenawindError, TimeoutError) as error:
+            self._failed(view, repr(error))
+            return
+        watched = self._watched.setdefault(server_id, _Watched())
+        recovered, watched.failures = watched.failures >= _FAILURES_TO_SUSPECT, 0
+        if self._merged_at_s.get(server_id, float("-inf")) > asked_at_s and not status.leaving:
+            return  # A peer observed the engine after this probe was sent.
+        self._fleet.observe(status)
+        if recovered:
+            self._publish(status)
+
+    def _failed(self, view: ServerView, reason: str) -> None:
+        server = view.server
+        watched = self._watched.setdefault(server.server_id, _Watched())
+        watched.failures += 1
+        if watched.failures < _FAILURES_TO_SUSPECT:
+            return
+        self._fleet.suspect(server.server_id, _SUSPECT_S)
+        now_s = self._clock.monotonic_s()
+        if now_s - watched.suspect_at_s < _SUSPECT_REFRESH_S:
+            return
+        watched.suspect_at_s = now_s
+        self._log.info("server_suspected", server=server.server_id, reason=reason)
+        known = self._peers.store.get(_SUSPECT_KIND, server.server_id)
+        number = known.rank[1] + 1 if known and known.rank[0] == server.incarnation else 0
+        self._peers.spread(
+            SpreadItem(
+                kind=_SUSPECT_KIND,
+                key=server.server_id,
+                rank=(server.incarnation, number),
+                body=b"",
+                expires_at_s=self._clock.now().timestamp() + _SUSPECT_S,
+            )
+        )
+
+    def _on_observed(self, status: EngineStatus) -> None:
+        """Spread what this daemon observed if it differs from what the peers know."""
+        known = self._known(status.server_id)
+        if known is None or _strong(known) != _strong(status):
+            self._publish(status)
+            return
+        watched = self._watched.get(status.server_id)
+        if watched is None or _load_level(known) == _load_level(status):
+            return
+        if self._clock.monotonic_s() - watched.load_at_s >= self._load_spacing_s():
+            watched.load_at_s = self._clock.monotonic_s()
+            self._publish(status)
+
+    def _load_spacing_s(self) -> float:
+        """Return the spacing that keeps the load updates of one zone within their rate."""
+        zone = self._fleet.location.zone
+        engines = sum(view.server.location.zone == zone for view in self._engines())
+        return max(_MIN_LOAD_SPACING_S, engines / _LOAD_UPDATES_PER_S)
+
+    def _publish(self, status: EngineStatus) -> None:
+        view = self._fleet.view(status.server_id)
+        if view is None:
+            return
+        before = self._ranks.get(status.server_id, (0, -1))
+        number = before[1] + 1 if before[0] == status.incarnation else 0
+        shown = self._directory.shown_to_other_zones(view.server)
+        self._peers.spread(
+            SpreadItem(
+                kind=_KIND_REMOTE if shown else _KIND_IN_ZONE,
+                key=status.server_id,
+                rank=(status.incarnation, number),
+                body=cbor2.dumps(msgspec.to_builtins(_summary(status))),
+            )
+        )
+
+    def _known(self, server_id: str) -> EngineStatus | None:
+        items = [self._peers.store.get(kind, server_id) for kind in (_KIND_IN_ZONE, _KIND_REMOTE)]
+        found = [item for item in items if item is not None]
+        return _status(max(found, key=lambda item: item.rank)) if found else None
+
+    def _on_engine(self, item: SpreadItem) -> None:
+        if item.rank <= self._ranks.get(item.key, (0, -1)):
+            return
+        self._ranks[item.key] = item.rank
+        self._merged_at_s[item.key] = self._clock.monotonic_s()
+        self._fleet.learn(_status(item))
+
+    def _on_server(self, item: SpreadItem) -> None:
+        """Give a server that has just become known the report that came before it."""
+        view = self._fleet.view(item.key)
+        if view is None:
+            self._forget(item.key)
+            return
+        status = self._known(item.key)
+        if view.status is None and status is not None:
+            self._fleet.learn(status)
+
+    def _forget(self, server_id: str) -> None:
+        """Drop the report of a server that is gone; its rank is kept in case it returns."""
+        for kind in (_KIND_IN_ZONE, _KIND_REMOTE):
+            self._peers.store.drop(kind, server_id)
+        self._merged_at_s.pop(server_id, None)
+        if len(self._ranks) > _RANKS_KEPT:
+            known = {view.server.server_id for view in self._engines()}
+            self._ranks = {key: rank for key, rank in self._ranks.items() if key in known}
+
+    def _on_suspect(self, item: SpreadItem) -> None:
+        view = self._fleet.view(item.key)
+        if view is not None and view.server.incarnation == item.rank[0]:
+            self._fleet.suspect(item.key, _SUSPECT_S)
+
+
+def _strong(status: EngineStatus) -> tuple[object, ...]:
+    """Return what peers must know at once when it changes."""
+    return (
+        status.incarnation,
+        status.models,
+        status.leaving,
+        status.fencing_number,
+        status.max_running,
+    )
+
+
+def _load_level(status: EngineStatus) -> tuple[int, int]:
+    """Return the load in steps of a quarter, and the queue in powers of two."""
+    return 4 * status.running // max(1, status.max_running), status.waiting.bit_length()
+
+
+def _summary(status: EngineStatus) -> _Summary:
+    return _Summary(
+        running=status.running,
+        waiting=status.waiting,
+        max_running=status.max_running,
+        leaving=status.leaving,
+        fencing_number=status.fencing_number,
+        models=tuple(
+            (model.model, model.active_version, model.staged_versions, model.swap_state)
+            for model in status.models
+        ),
+    )
+
+
+def _status(item: SpreadItem) -> EngineStatus:
+    summary = msgspec.convert(cbor2.loads(item.body), type=_Summary)
+    return EngineStatus(
+        server_id=item.key,
+        incarnation=item.rank[0],
+        models=tuple(
+            ModelStatus(
+                model=model, active_version=active, staged_versions=staged, swap_state=state
+            )
+            for model, active, staged, state in summary.models
+        ),
+        running=summary.running,
+        waiting=summary.waiting,
+        max_running=summary.max_running,
+        leaving=summary.leaving,
+        fencing_number=summary.fencing_number,
+    )
