Test generations and suspects; close nested generators so that callers who leave cancel

Cause: closing the outer async generator left the inner ones to the garbage collector, so an engine went on generating for a caller that had gone (found by test_caller_that_goes_away_cancels). Change: aclosing at each level.

--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from random import Random
 
 import structlog
@@ -161,8 +162,9 @@
                 if answer.ended is not None:
                     yield answer.ended
                 else:
-                    async for event in self._run(_Run(request, answer)):
-                        yield event
+                    async with aclosing(self._run(_Run(request, answer))) as events:
+                        async for event in events:
+                            yield event
             finally:
                 self._answers.close(request, answer)
         except VerbenawindError as error:
@@ -274,8 +276,9 @@
             if self._suspects.suspected(run.fingerprint):
                 await self._wait_for_trial(run)
             try:
-                async for event in self._attempt(run, pool):
-                    yield event
+                async with aclosing(self._attempt(run, pool)) as events:
+                    async for event in events:
+                        yield event
                 return
             except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
                 if run.answer.superseded or not budget.withdraw(self._clock.monotonic_s()):
@@ -310,8 +313,9 @@
                 raise BackendServerUnreachable(f"engine {server_id} has left")
             if run.trial is None and self._suspects.suspected(run.fingerprint):
                 raise BackendServerUnreachable("the request came under suspicion in the queue")
-            async for event in self._stream(run, pool, view, choice):
-                yield event
+            async with aclosing(self._stream(run, pool, view, choice)) as events:
+                async for event in events:
+                    yield event
             pool.queue.holds[ticket.kind].observe(self._clock.monotonic_s() - started_s)
         except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
             run.excluded.add(server_id)
--- /dev/null
+++ b/tests/routing/generations.py
@@ -0,0 +1,129 @@
+"""Helpers of the generation tests: a small world of engines and daemons."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from verbenawind.daemon import Core
+from verbenawind.document import parse_document
+from verbenawind.errors import VerbenawindError
+from verbenawind.kernel.messages import (
+    EngineEvent,
+    GenerateRequest,
+    GenerationEnded,
+    TokensGenerated,
+    WorkKind,
+)
+from verbenawind.standins.engine import EngineProfile, expected_token, natural_length
+from verbenawind.standins.world import World, run_virtual
+
+DOCUMENT = parse_document("""
+{
+  "environment": "siam-fold",
+  "pools": [{"name": "tuning"}],
+  "models": [{"name": "tuner", "pool": "tuning"}],
+  "callers": [
+    {"name": "desk", "kind": "application", "models": ["tuner"], "rate_per_s": 1000,
+     "max_concurrency": 1000,
+     "token_sha256": "0000000000000000000000000000000000000000000000000000000000000000"},
+    {"name": "slow", "kind": "application", "models": ["tuner"], "rate_per_s": 2,
+     "max_concurrency": 4,
+     "token_sha256": "1000000000000000000000000000000000000000000000000000000000000000"}
+  ]
+}
+""")
+DISCOVERY_S = 8.0
+
+
+def scenario(
+    work: Callable[[World], Awaitable[Any]], regions: tuple[str, ...] = ("bangkok",)
+) -> Any:
+    """Run *work* in a fresh world on virtual time."""
+
+    async def whole() -> Any:
+        world = World(seed=5, regions=regions)
+        try:
+            return await work(world)
+        finally:
+            await world.stop()
+
+    return run_virtual(whole())
+
+
+async def start(
+    world: World, *, engines: int = 3, daemons: int = 1, profile: EngineProfile | None = None
+) -> list[Core]:
+    """Start daemons over engines and return the cores once they know each other."""
+    zones = len(world.locations)
+    for index in range(engines):
+        world.add_engine(
+            f"engine-{index}", "tuning", {"tuner": 0}, zone_index=index % zones, profile=profile
+        )
+    cores = []
+    for index in range(daemons):
+        cores.append(world.add_daemon(f"daemon-{index}", zone_index=index % zones))
+        await cores[-1].start()
+    await world.accept(DOCUMENT)
+    await asyncio.sleep(DISCOVERY_S)
+    return cores
+
+
+def ask(
+    core: Core,
+    request_id: str = "r1",
+    prompt: str = "fold",
+    *,
+    kind: WorkKind = WorkKind.APPLICATION,
+    caller: str = "desk",
+    max_tokens: int = 64,
+    timeout_s: float = 30.0,
+    reconnect: bool = False,
+) -> GenerateRequest:
+    """Return a request; its seed comes from its id."""
+    return GenerateRequest(
+        request_id=request_id,
+        environment="siam-fold/production",
+        caller=caller,
+        kind=kind,
+        model="tuner",
+        pool="tuning",
+        prompt=prompt,
+        max_tokens=max_tokens,
+        seed=sum(request_id.encode()),
+        deadline_s=core.outside.clock.monotonic_s() + timeout_s,
+        reconnect=reconnect,
+    )
+
+
+async def run(core: Core, request: GenerateRequest) -> list[EngineEvent] | VerbenawindError:
+    """Return the answer's events, or the error that ended it."""
+    try:
+        return [event async for event in core.dispatcher.generate(request)]
+    except VerbenawindError as error:
+        return error
+
+
+def is_whole(events: list[EngineEvent] | VerbenawindError, request: GenerateRequest) -> bool:
+    """Return whether the events are exactly the answer to the request."""
+    if isinstance(events, VerbenawindError) or not isinstance(events[-1], GenerationEnded):
+        return False
+    tokens = [
+        token
+        for event in events[:-1]
+        if isinstance(event, TokensGenerated)
+        for token in event.token_ids
+    ]
+    count = min(request.max_tokens, natural_length(request.prompt, request.seed))
+    return events[-1].token_count == count and tokens == [
+        expected_token("tuner", 0, request.prompt, request.seed, index) for index in range(count)
+    ]
+
+
+def starts(world: World, request_id: str) -> int:
+    """Return how many engines started a request, counting repeats."""
+    return sum(engine.started_request_ids.count(request_id) for engine in world.engines.values())
+
+
+def running(world: World) -> int:
+    """Return how many attempts the engines hold."""
+    return sum(len(engine._running) + len(engine._waiting) for engine in world.engines.values())
