Read engine streams as bytes, take adapters from documents, drain on shutdown, count in metrics

Cause: one event per token line made the cost of a stream go with its tokens; adapter names were fixed. Change: one event per read while version and position follow; reads are spaced as streams grow.

--- a/src/verbenawind/api/callers.py
+++ b/src/verbenawind/api/callers.py
@@ -26,6 +26,7 @@
 
 _BASE = "/environments/{environment:str}/{stage:str}/v1"
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+_RECONNECT_HEADER = "x-reconnect"
 _DEADLINE_HEADER = "x-deadline-s"
 _DEFAULT_MAX_TOKENS = 256
 
@@ -155,6 +156,7 @@
         temperature=body.temperature,
         deadline_s=_deadline_s(request, parts, caller.default_timeout_s),
         priority=caller.priority,
+        reconnect=request.headers.get(_RECONNECT_HEADER, "").lower() == "true",
     )
 
 
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -86,6 +86,7 @@
             table=self.table,
             objects=self.objects,
             peers=self.peers,
+            metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
@@ -170,6 +171,8 @@
 
     def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
         self.core = Core(settings, outside)
+        if isinstance(outside.clients, PluginBackendClients):
+            self.core.configuration.subscribe(outside.clients.apply)
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
@@ -207,6 +210,7 @@
         """Become unready, let every request in flight end, then stop."""
         self.core.ready = False
         await self._server.stop()
+        await self.core.dispatcher.drain()
         await self.core.stop()
 
     async def kill(self) -> None:
@@ -225,11 +229,7 @@
         objects=HttpObjectStore(url),
         hosts=HttpHostList(url),
         weights=HttpWeightStore(url),
-        clients=PluginBackendClients(
-            engine_adapter=lambda _: "openai-http",
-            service_adapter=lambda _: "service-http",
-            scoring_adapter=lambda _: "scoring-http",
-        ),
+        clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
     )
 
--- a/src/verbenawind/plugins/engine_http.py
+++ b/src/verbenawind/plugins/engine_http.py
@@ -1,5 +1,6 @@
 """Adapter for engines with an OpenAI-compatible completions endpoint and admin extensions."""
 
+import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
@@ -34,7 +35,10 @@
 _MAX_CONNECTIONS = 512
 _REFUSED = 503
 _FENCED = 409
-_DONE = "[DONE]"
+_DATA = b"data: "
+_DONE = b"data: [DONE]"
+_MAX_GATHER_S = 0.06
+_GATHER_PER_STREAM_S = 0.0002
 
 
 class _Choice(msgspec.Struct):
@@ -98,8 +102,12 @@
                     raise AdmissionRefused(f"{what}: refused")
                 if response.status_code != httpx.codes.OK:
                     raise BackendServerFailed(f"{what}: status {response.status_code}")
-                async for event in self._events(attempt.attempt_id, response, what):
-                    yield event
+                _STREAMS.count += 1
+                try:
+                    async for event in self._events(attempt.attempt_id, response, what):
+                        yield event
+                finally:
+                    _STREAMS.count -= 1
 
     async def cancel(self, attempt_id: str) -> None:
         """Ask the engine to stop an attempt."""
@@ -151,43 +159,120 @@
     async def _events(
         self, attempt_id: str, response: httpx.Response, what: str
     ) -> AsyncIterator[EngineEvent]:
-        ended: GenerationEnded | None = None
-        async for data in _sse_data(response):
-            if data == _DONE:
-                if ended is None:
-                    break
-                yield ended
+        reader = _StreamReader(attempt_id, what)
+        async for data in response.aiter_raw():
+            for event in reader.feed(data):
+                yield event
+            if reader.done:
                 return
-            chunk = _decode(data, what)
-            choice = chunk.choices[0]
-            if choice.token_ids:
-                yield TokensGenerated(
-                    attempt_id=attempt_id,
-                    start=chunk.start,
-                    token_ids=choice.token_ids,
-                    text=choice.text,
-                    version=chunk.weight_version,
-                )
-            if choice.finish_reason is not None and chunk.usage is not None:
-                ended = GenerationEnded(
-                    attempt_id=attempt_id,
-                    token_count=chunk.usage.completion_tokens,
-                    finish_reason=choice.finish_reason,
-                )
+            await asyncio.sleep(self._gather_s())
         raise StreamTruncated(f"{what}: the stream ended without its end mark")
 
+    @staticmethod
+    def _gather_s() -> float:
+        """Return for how long tokens gather before the next read; it grows with the load."""
+        return min(_MAX_GATHER_S, _STREAMS.count * _GATHER_PER_STREAM_S)
 
-async def _sse_data(response: httpx.Response) -> AsyncIterator[str]:
-    async for line in response.aiter_lines():
-        if line.startswith("data: "):
-            yield line[6:]
 
+class _OpenStreams:
+    """Counts the streams that this process reads."""
 
-def _decode(data: str, what: str) -> _Chunk:
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
+_STREAMS = _OpenStreams()
+
+
+class _StreamReader:
+    """Turns the bytes of one server-sent event stream into events.
+
+    Tokens that arrive in one read and follow each other become one event, so that the cost of
+    a stream goes with the reads and not with the tokens.
+    """
+
+    __slots__ = ("_attempt_id", "_ended", "_rest", "_what", "done")
+
+    def __init__(self, attempt_id: str, what: str) -> None:
+        self._attempt_id = attempt_id
+        self._what = what
+        self._rest = b""
+        self._ended: GenerationEnded | None = None
+        self.done = False
+
+    def feed(self, data: bytes) -> list[EngineEvent]:
+        """Return the events that *data* completes.
+
+        Raises:
+            StreamTruncated: The stream's end came before its end mark.
+        """
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        events: list[EngineEvent] = []
+        gathered: list[_Chunk] = []
+        for line in lines:
+            if not line.startswith(_DATA):
+                continue
+            if line.startswith(_DONE):
+                self._finish(events, gathered)
+                return events
+            chunk = _decode(line[len(_DATA) :], self._what)
+            if gathered and not _follows(gathered[-1], chunk):
+                events.append(self._tokens(gathered))
+                gathered = []
+            if chunk.choices[0].token_ids:
+                gathered.append(chunk)
+            self._note_end(chunk)
+        if gathered:
+            events.append(self._tokens(gathered))
+        return events
+
+    def _finish(self, events: list[EngineEvent], gathered: list[_Chunk]) -> None:
+        if gathered:
+            events.append(self._tokens(gathered))
+        if self._ended is None:
+            raise StreamTruncated(f"{self._what}: the stream ended without its length")
+        events.append(self._ended)
+        self.done = True
+
+    def _note_end(self, chunk: _Chunk) -> None:
+        reason = chunk.choices[0].finish_reason
+        if reason is not None and chunk.usage is not None:
+            self._ended = GenerationEnded(
+                attempt_id=self._attempt_id,
+                token_count=chunk.usage.completion_tokens,
+                finish_reason=reason,
+            )
+
+    def _tokens(self, chunks: list[_Chunk]) -> TokensGenerated:
+        choices = [chunk.choices[0] for chunk in chunks]
+        return TokensGenerated(
+            attempt_id=self._attempt_id,
+            start=chunks[0].start,
+            token_ids=tuple(token_id for choice in choices for token_id in choice.token_ids),
+            text="".join(choice.text for choice in choices),
+            version=chunks[0].weight_version,
+        )
+
+
+def _follows(first: _Chunk, second: _Chunk) -> bool:
+    """Return whether two chunks can be one event; one without tokens never splits an event."""
+    if not second.choices[0].token_ids:
+        return True
+    end = first.start + len(first.choices[0].token_ids)
+    return second.start == end and second.weight_version == first.weight_version
+
+
+def _decode(data: bytes, what: str) -> _Chunk:
     try:
-        return _CHUNKS.decode(data)
+        chunk = _CHUNKS.decode(data)
     except msgspec.DecodeError as error:
         raise BackendServerFailed(f"{what}: undecodable chunk {data[:80]!r}") from error
+    if not chunk.choices:
+        raise BackendServerFailed(f"{what}: chunk without a choice {data[:80]!r}")
+    return chunk
 
 
 @ENGINE_ADAPTERS.register("openai-http")
--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -34,6 +34,7 @@
     PeerBus,
     TableStore,
 )
+from verbenawind.metrics import Metrics
 from verbenawind.routing.answers import Answer, AnswerKeeper
 from verbenawind.routing.attempts import CrashDetector, Failure, stream
 from verbenawind.routing.callers import CallerLimits
@@ -97,6 +98,7 @@
         table: The table service's client.
         objects: The object store's client.
         peers: The other daemons.
+        metrics: Counts refusals, waits and bytes between regions.
         policy: Which mechanisms are in force.
     """
 
@@ -111,6 +113,7 @@
         table: TableStore,
         objects: ObjectStore,
         peers: PeerBus,
+        metrics: Metrics,
         policy: RoutingPolicy | None = None,
     ) -> None:
         self._fleet = fleet
@@ -119,6 +122,7 @@
         self._rng = rng
         self._configuration = configuration
         self._peers = peers
+        self._metrics = metrics
         self._policy = policy or RoutingPolicy()
         self._pools: dict[str, EnginePool] = {}
         self._budgets: dict[tuple[str, WorkKind], RetryBudget] = {}
@@ -194,7 +198,7 @@
 
     def _enter(self, environment: str, caller: str, kind: WorkKind) -> CallerSpec | None:
         if self.draining:
-            self.stats.refusals["draining"] += 1
+            self._count_refusal(Draining.code)
             raise Draining(
                 f"daemon {self._peers.peer_id} is shutting down", retry_after_s=_DRAIN_RETRY_AFTER_S
             )
@@ -204,7 +208,7 @@
             try:
                 self._callers.enter(environment, spec, daemons, self._clock.monotonic_s())
             except VerbenawindError as error:
-                self.stats.refusals[error.code] += 1
+                self._count_refusal(error.code)
                 raise
         self._active += 1
         self._idle.clear()
@@ -218,7 +222,7 @@
             self._idle.set()
 
     def _refused(self, request_id: str, error: VerbenawindError) -> None:
-        self.stats.refusals[error.code] += 1
+        self._count_refusal(error.code)
         self._log.info(
             "request_failed",
             request_id=request_id,
@@ -228,6 +232,10 @@
             reason=error.message,
         )
 
+    def _count_refusal(self, code: str) -> None:
+        self.stats.refusals[code] += 1
+        self._metrics.count_refusal(code)
+
     def _document(self, environment: str) -> EnvironmentDocument | None:
         name, _, stage = environment.partition("/")
         revision = self._configuration.current(name, stage)
@@ -304,7 +312,9 @@
         started_s = self._clock.monotonic_s()
         server_id = choice.server_id
         assert server_id is not None
-        self.stats.waited(run.request.kind, started_s - ticket.since_s)
+        wait_s = started_s - ticket.since_s
+        self.stats.waited(run.request.kind, wait_s)
+        self._metrics.observe_queue_wait(run.request.environment, run.request.kind, wait_s)
         if run.trial is not None:
             pool.trial_servers.add(server_id)
         view = self._fleet.view(server_id)
@@ -334,8 +344,7 @@
         held, first = len(answer.token_ids), True
         self.stats.chose(choice.affine)
         events = stream(self._clients, view, request, answer, self._clock)
-        if choice.distance == OTHER_REGION:
-            self.stats.cross_region_bytes += len(request.prompt)
+        sent_bytes, received_bytes = len(request.prompt), -answer.size_bytes
         try:
             async for event in events:
                 run.dispatched = True
@@ -343,14 +352,21 @@
                     first = False
                     waited_s = self._clock.monotonic_s() - started_s
                     pool.observe_start(view.server.server_id, waited_s)
-                if choice.distance == OTHER_REGION:
-                    self.stats.cross_region_bytes += len(getattr(event, "text", ""))
                 yield event
                 if run.trial is not None and len(answer.token_ids) - held >= _TRIAL_TOKENS:
                     await self._pass_trial(run)
             await self._pass_trial(run)
         finally:
             await events.aclose()
+            received_bytes += answer.size_bytes
+            if choice.distance == OTHER_REGION:
+                self._count_crossing(view, sent_bytes, received_bytes)
+
+    def _count_crossing(self, view: ServerView, sent_bytes: int, received_bytes: int) -> None:
+        own, other = self._fleet.location.region, view.server.location.region
+        self.stats.cross_region_bytes += sent_bytes + received_bytes
+        self._metrics.add_cross_region_bytes(own, other, sent_bytes)
+        self._metrics.add_cross_region_bytes(other, own, received_bytes)
 
     async def _failed(
         self,
