--- a/src/verbenawind/api/app.py
+++ b/src/verbenawind/api/app.py
@@ -7,8 +7,9 @@
 from litestar.exceptions import HTTPException
 from litestar.openapi import OpenAPIConfig
 
-from verbenawind.api import callers, fleet, operators, rollouts
+from verbenawind.api import callers, fleet, operators, rollouts, service_calls
 from verbenawind.api.errors import error_response, http_error_response, unexpected_response
+from verbenawind.api.guard import RequestGuard
 from verbenawind.api.services import ApiServices
 from verbenawind.errors import VerbenawindError
 
@@ -17,14 +18,15 @@
 _API_VERSION = "1"
 
 
-def build_app(services: ApiServices) -> Litestar:
-    """Return the application over *services*."""
-    return Litestar(
+def build_app(services: ApiServices) -> RequestGuard:
+    """Return the guarded application over *services*."""
+    app = Litestar(
         [
             livez,
             readyz,
             metrics,
             *callers.HANDLERS,
+            *service_calls.HANDLERS,
             *rollouts.HANDLERS,
             *operators.HANDLERS,
             *fleet.HANDLERS,
@@ -38,6 +40,7 @@
         request_max_body_size=services.settings.limits.max_body_bytes,
         openapi_config=OpenAPIConfig(title="verbenawind", version=_API_VERSION),
     )
+    return RequestGuard(app, services)
 
 
 @get("/livez", summary="Tell whether the process runs")
--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -10,14 +10,17 @@
 import structlog
 from litestar import Request, Response
 from litestar.exceptions import HTTPException
+from litestar.types import Scope
 
 from verbenawind.errors import (
+    CallerDisconnected,
     ConditionFailed,
     DeadlineExceeded,
     DocumentInvalid,
     Draining,
     Forbidden,
     GradeConflict,
+    HeadersTooLarge,
     IdempotencyKeyReused,
     InvalidRequest,
     NoBackendServer,
@@ -41,13 +44,19 @@
     "ErrorDetail",
     "error_answer",
     "error_response",
+    "failure_of",
     "http_error_response",
     "http_status",
+    "note_failure",
     "store_write_is_the_request",
     "unexpected_response",
 ]
 
 
+_CLIENT_CLOSED_REQUEST = 499
+_FAILURE = "failure"
+
+
 class ErrorDetail(msgspec.Struct, omit_defaults=True):
     """What went wrong, in the form that OpenAI-compatible clients expect."""
 
@@ -89,6 +98,16 @@
     return 413
 
 
+@http_status.register
+def _(_: HeadersTooLarge) -> int:
+    return 431
+
+
+@http_status.register
+def _(_: CallerDisconnected) -> int:
+    return _CLIENT_CLOSED_REQUEST
+
+
 @http_status.register
 def _(_: Unauthorized) -> int:
     return 401
@@ -155,13 +174,25 @@
     return ErrorAnswer(detail)
 
 
-def error_response(_: Request[Any, Any, Any], error: VerbenawindError) -> Response[bytes]:
+def note_failure(request: Request[Any, Any, Any], error: VerbenawindError) -> None:
+    """Keep what a request failed with, for the metrics."""
+    request.scope["state"][_FAILURE] = (error.code, str(error.outcome))
+
+
+def failure_of(scope: Scope) -> tuple[str, str] | None:
+    """Return the code and outcome that a request failed with, None when it did not fail."""
+    failure: tuple[str, str] | None = scope["state"].get(_FAILURE)
+    return failure
+
+
+def error_response(request: Request[Any, Any, Any], error: VerbenawindError) -> Response[bytes]:
     """Return the HTTP answer that tells of *error*."""
     headers = {}
     if error.retry_after_s is not None:
         headers["retry-after"] = str(max(1, round(error.retry_after_s)))
-    if isinstance(error, RequestTooSlow | TooLarge):
+    if isinstance(error, RequestTooSlow | Draining):
         headers["connection"] = "close"
+    note_failure(request, error)
     return Response(
         msgspec.json.encode(error_answer(error)),
         status_code=http_status(error),
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -156,11 +156,13 @@
         )
         self.core.peers.on_call(EXPLAIN_CALL, partial(answer_explain_call, services))
         host, _, port = settings.listen.rpartition(":")
+        self._guard = build_app(services)
         self._server = HttpServer(
-            build_app(services),
+            self._guard,
             host,
             int(port),
             max_connections=settings.limits.max_connections,
+            header_timeout_s=settings.limits.header_timeout_s,
         )
 
     @property
@@ -177,6 +179,8 @@
     async def stop(self) -> None:
         """Become unready, let every request in flight end, then stop."""
         self.core.ready = False
+        await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
+        self._guard.draining = True
         await self._server.stop()
         await self.core.stop()
 
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -8,6 +8,7 @@
     "AdmissionRefused",
     "BackendServerFailed",
     "BackendServerUnreachable",
+    "CallerDisconnected",
     "ConditionFailed",
     "DeadlineExceeded",
     "DocumentInvalid",
@@ -15,6 +16,7 @@
     "FencingRefused",
     "Forbidden",
     "GradeConflict",
+    "HeadersTooLarge",
     "IdempotencyKeyReused",
     "InvalidRequest",
     "LeaseLost",
@@ -146,11 +148,23 @@
 
 
 class TooLarge(InvalidRequest):
-    """Raised when a body or the headers of a request exceed their limit."""
+    """Raised when the body of a request exceeds its limit."""
 
     code = "too_large"
 
 
+class HeadersTooLarge(InvalidRequest):
+    """Raised when the headers of a request exceed their limit."""
+
+    code = "headers_too_large"
+
+
+class CallerDisconnected(VerbenawindError):
+    """Raised when the caller closed its connection before the answer."""
+
+    code = "caller_disconnected"
+
+
 class RateLimited(VerbenawindError):
     """Raised when a caller exceeds its own rate or concurrency limit."""
 
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -4,9 +4,15 @@
 import contextlib
 import socket
 from collections.abc import Iterator
+from functools import partial
+from typing import Any
 
+import msgspec
 import uvicorn
-from litestar import Litestar
+from h11 import Data, EndOfMessage, LocalProtocolError, Response
+from uvicorn.protocols.http.h11_impl import STATUS_PHRASES, H11Protocol
+
+from verbenawind.errors import Outcome
 
 __all__ = ["HttpServer"]
 
@@ -22,6 +28,71 @@
         yield
 
 
+class _Protocol(H11Protocol):
+    """Answers malformed input in JSON and closes connections whose request head is slow."""
+
+    def __init__(self, *args: Any, header_timeout_s: float, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._header_timeout_s = header_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Give the first request head its time."""
+        super().connection_made(transport)  # type: ignore[arg-type]
+        self._head_timer = self.loop.call_later(self._header_timeout_s, self._head_is_late)
+
+    def data_received(self, data: bytes) -> None:
+        """Give each request head its time."""
+        if self._head_timer is None and (self.cycle is None or self.cycle.response_complete):
+            self._head_timer = self.loop.call_later(self._header_timeout_s, self._head_is_late)
+        known = self.cycle
+        super().data_received(data)
+        if self.cycle is not known:
+            self._stop_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the timer."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer malformed HTTP with the body that every error has."""
+        self._answer(400, "invalid_request", msg)
+
+    def _head_is_late(self) -> None:
+        self._head_timer = None
+        if self.cycle is None or self.cycle.response_complete:
+            limit_s = self._header_timeout_s
+            self._answer(408, "request_timeout", f"no whole request head within {limit_s} seconds")
+
+    def _answer(self, status: int, code: str, message: str) -> None:
+        error = {
+            "message": message,
+            "code": code,
+            "type": "invalid_request_error",
+            "outcome": Outcome.NOT_RUN,
+        }
+        body = msgspec.json.encode({"error": error})
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        with contextlib.suppress(LocalProtocolError):
+            for event in (
+                Response(status_code=status, headers=headers, reason=STATUS_PHRASES[status]),
+                Data(data=body),
+                EndOfMessage(),
+            ):
+                self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
 class HttpServer:
     """One listening HTTP server.
 
@@ -30,12 +101,19 @@
         host: IP number to listen on.
         port: TCP port, 0 for one that the kernel chooses.
         max_connections: Connections beyond this number are answered 503.
+        header_timeout_s: A connection without a whole request head by then is closed.
     """
 
     __slots__ = ("_server", "_socket", "_task")
 
     def __init__(
-        self, app: Litestar, host: str, port: int, *, max_connections: int | None = None
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        *,
+        max_connections: int | None = None,
+        header_timeout_s: float = 10.0,
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -43,6 +121,8 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
+            http=partial(_Protocol, header_timeout_s=header_timeout_s),  # type: ignore[arg-type]
+            ws="none",
             lifespan="off",
             log_config=None,
             log_level="warning",
@@ -50,6 +130,7 @@
             limit_concurrency=max_connections,
             h11_max_incomplete_event_size=32 * 1024,
             server_header=False,
+            proxy_headers=False,
         )
         self._server = _QuietServer(config)
         self._task: asyncio.Task[None] | None = None
--- a/src/verbenawind/settings.py
+++ b/src/verbenawind/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import jsonc
 import msgspec
@@ -16,6 +16,7 @@
 Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Url = Annotated[str, Meta(pattern=r"^http://[0-9a-fA-F.:\[\]]+(/.*)?$")]
 PositiveInt = Annotated[int, Meta(ge=1)]
+PositiveFloat = Annotated[float, Meta(gt=0.0)]
 Sha256 = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
@@ -27,9 +28,17 @@
     """Limits on what a daemon takes in."""
 
     max_body_bytes: PositiveInt = 16 * 1024 * 1024
+    max_header_bytes: PositiveInt = 16 * 1024
     max_connections: PositiveInt = 4096
+    max_requests_in_flight: PositiveInt = 2048
     max_queued_requests: PositiveInt = 20_000
     max_explained_requests: PositiveInt = 8192
+    max_tokens_per_generation: PositiveInt = 131_072
+    max_grades_per_request: PositiveInt = 8192
+    max_deadline_s: PositiveFloat = 3600.0
+    max_poll_wait_s: PositiveFloat = 60.0
+    header_timeout_s: PositiveFloat = 10.0
+    body_timeout_s: PositiveFloat = 20.0
 
 
 class DaemonSettings(_Settings, frozen=True, kw_only=True):
@@ -44,7 +53,8 @@
     platform_url: Url
     operator_token_sha256: Sha256
     peer_seeds: tuple[Address, ...] = ()
-    log_level: str = "info"
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    unready_grace_s: Annotated[float, Meta(ge=0.0)] = 1.0
     limits: LimitSettings = LimitSettings()
 
 
