--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -15,6 +15,7 @@
 from verbenawind.errors import (
     CallerDisconnected,
     ConditionFailed,
+    CursorConflict,
     DeadlineExceeded,
     DocumentInvalid,
     Draining,
@@ -124,6 +125,7 @@
     return 404
 
 
+@http_status.register(CursorConflict)
 @http_status.register(RevisionConflict)
 @http_status.register(StepConflict)
 @http_status.register(GradeConflict)
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -18,7 +18,7 @@
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import LonePeerBus
+from verbenawind.membership import GossipBus
 from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
@@ -29,7 +29,7 @@
     HttpWeightStore,
 )
 from verbenawind.rollout import Rollouts
-from verbenawind.routing import Dispatcher, WaitPolicy
+from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
@@ -38,7 +38,6 @@
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
-_CONFIGURATION_PERIOD_S = 1.0
 
 
 class Core:
@@ -58,18 +57,36 @@
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
-        self.leases = LeaseManager(self.table, clock, settings.daemon_id)
-        self.peers = LonePeerBus(settings.daemon_id)
-        self.configuration = ConfigurationStore(self.table, clock)
+        self.peers = GossipBus(
+            peer_id=settings.daemon_id,
+            location=self.fleet.location,
+            listen=settings.peer_listen,
+            key=settings.peer_key.encode(),
+            seeds=settings.peer_seeds,
+            transport=outside.transport,
+            clock=clock,
+            rng=rng,
+        )
+        self.leases = LeaseManager(
+            self.table,
+            clock,
+            settings.daemon_id,
+            rng=rng,
+            peers=self.peers,
+            zone=settings.zone,
+            expects_peers=bool(settings.peer_seeds),
+        )
+        self.configuration = ConfigurationStore(self.table, clock, rng=rng, peers=self.peers)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clients=outside.clients,
             clock=clock,
             rng=rng,
+            configuration=self.configuration,
             table=self.table,
             objects=self.objects,
             peers=self.peers,
-            policy=WaitPolicy(max_queued=settings.limits.max_queued_requests),
+            policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
         self.rollouts = Rollouts(
@@ -77,7 +94,11 @@
             objects=self.objects,
             leases=self.leases,
             generator=self.dispatcher,
+            peers=self.peers,
+            fleet=self.fleet,
+            clients=outside.clients,
             clock=clock,
+            rng=rng,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
@@ -87,16 +108,26 @@
             configuration=self.configuration,
             clock=clock,
         )
-        self.ready = False
+        self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
 
+    @property
+    def ready(self) -> bool:
+        """Whether the daemon takes new work."""
+        return self._ready and self.configuration.informed and not self.peers.superseded
+
+    @ready.setter
+    def ready(self, ready: bool) -> None:
+        self._ready = ready
+
     async def start(self) -> None:
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
+        await self.peers.start()
         await self._refresh_configuration()
         await self.watcher.refresh()
-        for work in (self.watcher.run(), self.weights.run(), self._follow_configuration()):
+        for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
             self._tasks.append(asyncio.get_running_loop().create_task(work))
         self.ready = True
 
@@ -106,12 +137,14 @@
         await self.rollouts.stop()
         await self._cancel_tasks()
         await self.leases.stop()
+        await self.peers.stop()
 
     async def kill(self) -> None:
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
-        await self.rollouts.stop()
+        await self.peers.kill()
+        await self.rollouts.kill()
         await self._cancel_tasks()
 
     async def _cancel_tasks(self) -> None:
@@ -125,11 +158,6 @@
         except StoreUnavailable as error:
             self._log.warning("configuration_unavailable", error=error.message)
 
-    async def _follow_configuration(self) -> None:
-        while True:
-            await self.outside.clock.sleep(_CONFIGURATION_PERIOD_S)
-            await self._refresh_configuration()
-
 
 class Daemon:
     """A core behind its HTTP server.
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -10,6 +10,7 @@
     "BackendServerUnreachable",
     "CallerDisconnected",
     "ConditionFailed",
+    "CursorConflict",
     "DeadlineExceeded",
     "DocumentInvalid",
     "Draining",
@@ -298,6 +299,21 @@
     code = "step_conflict"
 
 
+class CursorConflict(VerbenawindError):
+    """Raised when a poll's cursor names a void delivery or one that is long acknowledged.
+
+    Args:
+        message: The cursor and where the delivery stands.
+        acknowledged_cursor: The cursor to poll with instead.
+    """
+
+    code = "cursor_conflict"
+
+    def __init__(self, message: str, *, acknowledged_cursor: int) -> None:
+        super().__init__(message)
+        self.acknowledged_cursor = acknowledged_cursor
+
+
 class GradeConflict(VerbenawindError):
     """Raised when a sample is graded again with another value."""
 
