--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -8,13 +8,16 @@
     "AdmissionRefused",
     "BackendServerFailed",
     "BackendServerUnreachable",
+    "CallerDisconnected",
     "ConditionFailed",
+    "CursorConflict",
     "DeadlineExceeded",
     "DocumentInvalid",
     "Draining",
     "FencingRefused",
     "Forbidden",
     "GradeConflict",
+    "HeadersTooLarge",
     "IdempotencyKeyReused",
     "InvalidRequest",
     "LeaseLost",
@@ -146,11 +149,23 @@
 
 
 class TooLarge(InvalidRequest):
-    """Raised when a body or the headers of a request exceed their limit."""
+    """Raised when the body of a request exceeds its limit."""
 
     code = "too_large"
 
 
+class HeadersTooLarge(InvalidRequest):
+    """Raised when the headers of a request exceed their limit."""
+
+    code = "headers_too_large"
+
+
+class CallerDisconnected(VerbenawindError):
+    """Raised when the caller closed its connection before the answer."""
+
+    code = "caller_disconnected"
+
+
 class RateLimited(VerbenawindError):
     """Raised when a caller exceeds its own rate or concurrency limit."""
 
@@ -284,6 +299,21 @@
     code = "step_conflict"
 
 
+class CursorConflict(VerbenawindError):
+    """Raised when a poll's cursor names a void delivery or one that is long acknowledged.
+
+    Args:
+        message: The cursor and where the delivery stands.
+        acknowledged_cursor: The cursor to poll with instead.
+    """
+
+    code = "cursor_conflict"
+
+    def __init__(self, message: str, *, acknowledged_cursor: int) -> None:
+        super().__init__(message)
+        self.acknowledged_cursor = acknowledged_cursor
+
+
 class GradeConflict(VerbenawindError):
     """Raised when a sample is graded again with another value."""
 
