--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -171,6 +171,7 @@
         self.checks_fencing = checks_fencing
         self.fencing_number = 0
         self.started_request_ids: list[str] = []
+        self.starts: list[tuple[float, GenerationAttempt]] = []
         self.orders: list[EngineOrder] = []
         self.crashes = 0
         self._initial = dict(models)
@@ -197,6 +198,7 @@
         if attempt.model not in self._weights:
             raise AdmissionRefused(f"engine {self.server_id} has no model {attempt.model!r}")
         self.started_request_ids.append(attempt.request_id)
+        self.starts.append((self._clock.monotonic_s(), attempt))
         running = _Running(attempt)
         self._waiting.append(running)
         self._note_load()
--- a/src/verbenawind/standins/services.py
+++ b/src/verbenawind/standins/services.py
@@ -36,6 +36,7 @@
         self.lose_next_answers = 0
         self.leaving = False
         self.runs: Counter[str] = Counter()
+        self.starts: list[tuple[float, ServiceRequest]] = []
         self._clock = clock
 
     async def call(self, request: ServiceRequest) -> ServiceResponse:
@@ -43,6 +44,7 @@
         if self.unreachable:
             raise BackendServerUnreachable(f"service host {self.server_id} refuses connections")
         self.runs[request.idempotency_key or request.request_id] += 1
+        self.starts.append((self._clock.monotonic_s(), request))
         await self._clock.sleep(self.answer_s)
         if self.lose_next_answers > 0:
             self.lose_next_answers -= 1
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,50 @@
+"""Lets exactly the tests that KNOWN-RED.txt lists fail, and prints them."""
+
+import logging
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import structlog
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red() -> frozenset[str]:
+    """Return the node ids that KNOWN-RED.txt lists, one at the start of each entry's line."""
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    return frozenset(line.split()[0] for line in lines if line.startswith("tests/"))
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Iterator[None]:
+    """Report the failure of a listed test as an expected one."""
+    outcome = yield
+    report = outcome.get_result()
+    if item.nodeid not in known_red():
+        return
+    if report.failed:
+        report.outcome = "skipped"
+        report.wasxfail = "listed in KNOWN-RED.txt"
+    elif report.passed and report.when == "call":
+        report.wasxfail = "listed in KNOWN-RED.txt, but it passes"
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the listed tests that failed, and those whose entry should go."""
+    for report in terminalreporter.stats.get("xfailed", []):
+        if "KNOWN-RED" in report.wasxfail:
+            terminalreporter.write_line(f"KNOWN RED {report.nodeid}", red=True)
+    for report in terminalreporter.stats.get("xpassed", []):
+        if "KNOWN-RED" in report.wasxfail:
+            terminalreporter.write_line(
+                f"KNOWN RED BUT PASSING, remove its entry: {report.nodeid}", yellow=True
+            )
+
+
+@pytest.fixture(autouse=True, scope="session")
+def _quiet_logs() -> None:
+    """Drop log lines below errors; a test that reads them sets its own configuration."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
--- /dev/null
+++ b/tests/fuzz/machine.py
@@ -0,0 +1,248 @@
+"""The state machine that drives several daemons, their outside parties and their faults."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import async_solipsism
+from fuzz.scenes import DOCUMENT, ENGINES, SERVICES, TRAINERS, scene, step_of
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from verbenawind.standins.engine import CRASH_MARK
+from verbenawind.standins.scene import with_weights
+
+DAEMONS = st.integers(0, 2)
+ENGINE_INDEXES = st.integers(0, ENGINES - 1)
+TRAINER_NAMES = st.sampled_from(TRAINERS)
+DURATIONS_S = st.sampled_from([0.1, 0.7, 3.0, 9.0])
+MAX_STEPS = 4
+SETTLE_S = 25.0
+
+
+class ServiceMachine(RuleBasedStateMachine):
+    """Every rule is something that outside parties or fate may do at any moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._runner = asyncio.Runner(loop_factory=async_solipsism.EventLoop)
+        self._steps = dict.fromkeys(TRAINERS, 0)
+        self._bookings = 0
+        self._documents = 0
+
+    @initialize(seed=st.integers(0, 3))
+    def begin(self, seed: int) -> None:
+        """Start three daemons."""
+
+        async def start() -> None:
+            self.scene = scene(seed)
+            await self.scene.start()
+
+        self._runner.run(start())
+
+    # What outside parties do.
+
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS)
+    def submit(self, trainer: str, index: int) -> None:
+        """A trainer sends its next step, or repeats the last one."""
+        step = min(self._steps[trainer] + 1, MAX_STEPS)
+        self._background(self._submit(trainer, index, step))
+
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS, lose=st.booleans())
+    def poll(self, trainer: str, index: int, lose: bool) -> None:
+        """A trainer polls; a lost answer makes it repeat its cursor."""
+        self._background(self.scene.poll(index, trainer, lose=lose))
+
+    @rule(trainer=TRAINER_NAMES, first=DAEMONS, second=DAEMONS)
+    def poll_twice(self, trainer: str, first: int, second: int) -> None:
+        """A trainer polls at two daemons at once with one cursor."""
+        self._background(self.scene.poll(first, trainer))
+        self._background(self.scene.poll(second, trainer))
+
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS)
+    def grade(self, trainer: str, index: int) -> None:
+        """A trainer grades what it holds."""
+        self._background(self.scene.grade(index, trainer))
+
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS)
+    def publish(self, trainer: str, index: int) -> None:
+        """A trainer publishes its next version."""
+        self._background(self.scene.publish(index, trainer))
+
+    @rule(index=DAEMONS, number=st.integers(0, 20))
+    def ask(self, index: int, number: int) -> None:
+        """An application caller asks for a generation."""
+        self._do(lambda: self.scene.ask(index, f"which die for envelope {number}"))
+
+    @rule(index=DAEMONS)
+    def ask_crashing(self, index: int) -> None:
+        """A caller sends a request that crashes engines."""
+        self._do(lambda: self.scene.ask(index, f"a die {CRASH_MARK}"))
+
+    @rule(index=DAEMONS)
+    def look_up(self, index: int) -> None:
+        """A caller sends an idempotent call to the plain service."""
+        self._do(lambda: self.scene.book(index, "", "card 7", idempotent=True))
+
+    @rule(first=DAEMONS, second=DAEMONS)
+    def book_twice(self, first: int, second: int) -> None:
+        """A caller books at one daemon and repeats it at another before it has an answer."""
+        self._bookings += 1
+        key, body = f"booking-{self._bookings}", f"pallet {self._bookings}"
+        self._do(lambda: self.scene.book(first, key, body), 0.004)
+        self._do(lambda: self.scene.book(second, key, body))
+
+    @rule(index=DAEMONS)
+    def change_document(self, index: int) -> None:
+        """An operator changes the document."""
+        self._documents += 1
+        document = with_weights(DOCUMENT, 1.0 + self._documents)
+        self._background(self.scene.accept(index, document))
+
+    # What fate does.
+
+    @rule(engine=ENGINE_INDEXES)
+    def crash_engine(self, engine: int) -> None:
+        """An engine crashes."""
+        self._do(self.scene.world.engines[f"engine-{engine}"].crash)
+
+    @rule(engine=ENGINE_INDEXES)
+    def restart_engine(self, engine: int) -> None:
+        """A crashed engine comes back with its first weights."""
+        crashed = self.scene.world.engines[f"engine-{engine}"]
+        if crashed.down:
+            self._do(crashed.restart)
+
+    @rule(engine=ENGINE_INDEXES, ends=st.booleans())
+    def spoil_engine(self, engine: int, ends: bool) -> None:
+        """An engine's next swap fails halfway, or its streams lose their end marks for a while."""
+        faults = self.scene.world.engines[f"engine-{engine}"].faults
+        if not ends:
+            faults.fail_next_swaps = 1
+            return
+        faults.drop_end_mark = True
+        self._advance(1.0)
+        faults.drop_end_mark = False
+
+    @rule(engine=ENGINE_INDEXES)
+    def delay_version_report(self, engine: int) -> None:
+        """An engine's status names its old version for some seconds after each swap."""
+        self.scene.world.engines[f"engine-{engine}"].faults.version_report_lag_s = 3.0
+
+    @precondition(lambda self: self._steps["folders"] > 0)
+    @rule(engine=ENGINE_INDEXES)
+    def leave(self, engine: int) -> None:
+        """The platform lists one engine as leaving; the first one always stays."""
+        if engine > 0:
+            self._do(lambda: self.scene.leave(f"engine-{engine}"), 0.5)
+
+    @rule(host=st.integers(0, SERVICES - 1), answers=st.booleans())
+    def spoil_service(self, host: int, answers: bool) -> None:
+        """A service host drops its next answer after the effect, or refuses connections."""
+        service = self.scene.world.services[f"stock-{host}"]
+        if answers:
+            service.lose_next_answers = 1
+        else:
+            service.unreachable = not service.unreachable
+
+    @rule(index=DAEMONS, pause=st.booleans())
+    def lose_daemon(self, index: int, pause: bool) -> None:
+        """A daemon dies, or stands still."""
+        if pause and self.scene.running(index):
+            self._do(lambda: self.scene.pause(index))
+        else:
+            self._run(self.scene.kill_daemon(index))
+
+    @rule(index=DAEMONS)
+    def resume_daemon(self, index: int) -> None:
+        """A daemon starts again or goes on."""
+
+        async def resume() -> None:
+            await asyncio.wait_for(self.scene.start_daemon(index), 60.0)
+            self.scene.resume(index)
+
+        self._run(resume())
+
+    @rule(index=DAEMONS)
+    def stop_daemon(self, index: int) -> None:
+        """A daemon shuts down gracefully."""
+        if self.scene.running(index):
+            self._do(lambda: self.scene.resume(index))
+            self._background(self.scene.stop_daemon(index))
+
+    @rule(zone=DAEMONS, platform=st.booleans(), both_ways=st.booleans())
+    def cut(self, zone: int, platform: bool, both_ways: bool) -> None:
+        """A zone is cut off from the platform or from the other zones."""
+        self._do(lambda: self.scene.cut(zone, platform=platform, both_ways=both_ways), 0.3)
+
+    @rule()
+    def heal_network(self) -> None:
+        """The network is whole again."""
+        self._do(self.scene.world.network.heal)
+
+    @rule(fault=st.sampled_from(["down", "slow", "lossy", "whole"]))
+    def change_store(self, fault: str) -> None:
+        """The platform's stores go down, become slow, lose answers, or recover."""
+        world = self.scene.world
+
+        def change() -> None:
+            if fault != "whole":
+                self.scene.oracle.disturb(world.clock.monotonic_s())
+            for store in (world.table, world.objects):
+                store.faults.down = fault == "down"
+                store.faults.delay_s = 0.4 if fault == "slow" else 0.0
+                store.faults.lose_answer_rate = 0.2 if fault == "lossy" else 0.0
+
+        self._do(change, 0.3)
+
+    @rule(duration_s=DURATIONS_S)
+    def wait(self, duration_s: float) -> None:
+        """Time passes."""
+        self._advance(duration_s)
+
+    def teardown(self) -> None:
+        """Take every fault away; all accepted work must become whole."""
+        try:
+            if hasattr(self, "scene"):
+                self._run(self._finish())
+        finally:
+            self._runner.close()
+
+    async def _finish(self) -> None:
+        await self.scene.heal()
+        await self.scene.clock.sleep(SETTLE_S)
+        self.scene.calm()
+        await self.scene.quiet()
+        try:
+            self.scene.check()
+        finally:
+            await self.scene.stop()
+
+    async def _submit(self, trainer: str, index: int, step: int) -> None:
+        if await self.scene.submit(index, trainer, step_of(trainer, step)):
+            self._steps[trainer] = max(step, self._steps[trainer])
+
+    def _background(self, work: Coroutine[Any, Any, Any]) -> None:
+        async def begin() -> None:
+            self.scene.spawn(work)
+            await self.scene.clock.sleep(0.05)
+
+        self._run(begin())
+
+    def _do(self, act: Callable[[], Any], then_s: float = 0.1) -> None:
+        async def work() -> None:
+            act()
+            await self.scene.clock.sleep(then_s)
+
+        self._run(work())
+
+    def _advance(self, duration_s: float) -> None:
+        self._run(self.scene.clock.sleep(duration_s))
+
+    def _run(self, work: Coroutine[Any, Any, Any]) -> None:
+        self._runner.run(work)
+        if hasattr(self, "scene") and self.scene.world.daemons:
+            self._runner.run(self._checked())
+
+    async def _checked(self) -> None:
+        self.scene.check()
