--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -2,21 +2,24 @@
 
 import asyncio
 import signal
+from functools import partial
 from random import Random
 
 import structlog
 from absl import app as absl_app
 from absl import flags
 
-from verbenawind.api import ApiServices, build_app
+from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
+from verbenawind.decisions import DecisionRecord, record_decisions_in
 from verbenawind.errors import StoreUnavailable
 from verbenawind.http_server import HttpServer
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import LonePeerBus
+from verbenawind.membership import GossipBus
+from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
 from verbenawind.plugins.platform_http import (
@@ -50,11 +53,22 @@
         clock, rng = outside.clock, outside.rng
         self.settings = settings
         self.outside = outside
+        self.metrics = Metrics()
+        self.decisions = DecisionRecord(settings.limits.max_explained_requests)
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
         self.leases = LeaseManager(self.table, clock, settings.daemon_id)
-        self.peers = LonePeerBus(settings.daemon_id)
+        self.peers = GossipBus(
+            peer_id=settings.daemon_id,
+            location=self.fleet.location,
+            listen=settings.peer_listen,
+            key=settings.peer_key.encode(),
+            seeds=settings.peer_seeds,
+            transport=outside.transport,
+            clock=clock,
+            rng=rng,
+        )
         self.configuration = ConfigurationStore(self.table, clock)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
@@ -82,13 +96,23 @@
             configuration=self.configuration,
             clock=clock,
         )
-        self.ready = False
+        self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
 
+    @property
+    def ready(self) -> bool:
+        """Whether the daemon takes new work."""
+        return self._ready and not self.peers.superseded
+
+    @ready.setter
+    def ready(self, ready: bool) -> None:
+        self._ready = ready
+
     async def start(self) -> None:
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
+        await self.peers.start()
         await self._refresh_configuration()
         await self.watcher.refresh()
         for work in (self.watcher.run(), self.weights.run(), self._follow_configuration()):
@@ -101,11 +125,13 @@
         await self.rollouts.stop()
         await self._cancel_tasks()
         await self.leases.stop()
+        await self.peers.stop()
 
     async def kill(self) -> None:
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        await self.peers.kill()
         await self.rollouts.stop()
         await self._cancel_tasks()
 
@@ -142,11 +168,17 @@
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            fleet=self.core.fleet,
+            peers=self.core.peers,
+            decisions=self.core.decisions,
+            metrics=self.core.metrics,
             clock=outside.clock,
+            ready=lambda: self.core.ready,
         )
+        self.core.peers.on_call(EXPLAIN_CALL, partial(answer_explain_call, services))
         host, _, port = settings.listen.rpartition(":")
         self._server = HttpServer(
-            build_app(services, lambda: self.core.ready),
+            build_app(services),
             host,
             int(port),
             max_connections=settings.limits.max_connections,
@@ -159,6 +191,7 @@
 
     async def start(self) -> None:
         """Start the core, then serve."""
+        record_decisions_in(self.core.decisions)
         await self.core.start()
         await self._server.start()
 
