--- a/src/verbenawind/standins/oracle.py
+++ b/src/verbenawind/standins/oracle.py
@@ -145,7 +145,12 @@
         self._versions[model].append((at_s, version))
 
     def delivered(
-        self, trainer: str, request: PollRequest, answer: PollResponse, asked_at_s: float, at_s: float
+        self,
+        trainer: str,
+        request: PollRequest,
+        answer: PollResponse,
+        asked_at_s: float,
+        at_s: float,
     ) -> None:
         """Judge a poll's answer, which replaces what followed the same cursor before."""
         state = self._trainers[trainer]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,9 +17,7 @@
 
 
 @pytest.hookimpl(hookwrapper=True)
-def pytest_runtest_makereport(
-    item: pytest.Item, call: pytest.CallInfo[None]
-) -> Iterator[None]:
+def pytest_runtest_makereport(item: pytest.Item, call: pytest.CallInfo[None]) -> Iterator[None]:
     """Report the failure of a listed test as an expected one."""
     outcome = yield
     report = outcome.get_result()
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 import async_solipsism
-from fuzz.scenes import DOCUMENT, ENGINES, SERVICES, TRAINERS, scene, step_of
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
+from fuzz.scenes import DOCUMENT, ENGINES, SERVICES, TRAINERS, scene, step_of
 from verbenawind.standins.engine import CRASH_MARK
 from verbenawind.standins.scene import with_weights
 
--- a/tests/fuzz/test_found.py
+++ b/tests/fuzz/test_found.py
@@ -1,7 +1,6 @@
 """Short forms of the failures that fuzzing found."""
 
 from fuzz.scenes import DOCUMENT, scene, step_of
-
 from verbenawind.standins.scene import with_weights
 from verbenawind.standins.world import run_virtual
 
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -2,10 +2,11 @@
 
 import os
 
-from fuzz.machine import CallerMachine, FaultMachine, ServiceMachine, TrainerMachine
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from fuzz.machine import CallerMachine, FaultMachine, ServiceMachine, TrainerMachine
+
 CI_EXAMPLES = 25
 STEPS = 30
 
