--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -13,6 +13,7 @@
 
 from verbenawind.errors import (
     ConditionFailed,
+    CursorConflict,
     DeadlineExceeded,
     DocumentInvalid,
     Draining,
@@ -105,6 +106,7 @@
     return 404
 
 
+@http_status.register(CursorConflict)
 @http_status.register(RevisionConflict)
 @http_status.register(StepConflict)
 @http_status.register(GradeConflict)
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -29,7 +29,7 @@
     HttpWeightStore,
 )
 from verbenawind.rollout import Rollouts
-from verbenawind.routing import Dispatcher, WaitPolicy
+from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
@@ -58,7 +58,6 @@
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
-        self.leases = LeaseManager(self.table, clock, settings.daemon_id)
         self.peers = GossipBus(
             peer_id=settings.daemon_id,
             location=self.fleet.location,
@@ -69,16 +68,25 @@
             clock=clock,
             rng=rng,
         )
+        self.leases = LeaseManager(
+            self.table,
+            clock,
+            settings.daemon_id,
+            rng=rng,
+            peers=self.peers,
+            zone=settings.zone,
+        )
         self.configuration = ConfigurationStore(self.table, clock)
         self.dispatcher = Dispatcher(
             fleet=self.fleet,
             clients=outside.clients,
             clock=clock,
             rng=rng,
+            configuration=self.configuration,
             table=self.table,
             objects=self.objects,
             peers=self.peers,
-            policy=WaitPolicy(max_queued=settings.limits.max_queued_requests),
+            policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
         self.rollouts = Rollouts(
@@ -86,7 +94,11 @@
             objects=self.objects,
             leases=self.leases,
             generator=self.dispatcher,
+            peers=self.peers,
+            fleet=self.fleet,
+            clients=outside.clients,
             clock=clock,
+            rng=rng,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
@@ -132,7 +144,7 @@
         self.ready = False
         self.leases.abandon()
         await self.peers.kill()
-        await self.rollouts.stop()
+        await self.rollouts.kill()
         await self._cancel_tasks()
 
     async def _cancel_tasks(self) -> None:
