--- a/src/verbenawind/standins/scene.py
+++ b/src/verbenawind/standins/scene.py
@@ -499,4 +499,4 @@
 
 
 def _seed_identifiers(seed: int) -> None:
-    ids.secrets = _SeededTokens(seed)  # type: ignore[assignment]
+    vars(ids)["secrets"] = _SeededTokens(seed)
