--- /dev/null
+++ b/tests/rollout/test_staleness.py
@@ -0,0 +1,171 @@
+"""Tests of the staleness bound at delivery, on repeated polls and under swaps."""
+
+import asyncio
+
+from rollout.scenarios import Scene, document, submission
+from verbenawind.document import StalenessSpec
+from verbenawind.errors import CursorConflict
+from verbenawind.rollout.records import VersionTime
+from verbenawind.rollout.staleness import StalenessBound
+from verbenawind.standins.world import run_virtual
+
+
+class TestStalenessBound:
+    def test_versions(self) -> None:
+        """A version further behind than the bound is not allowed."""
+        bound = StalenessBound(
+            spec=StalenessSpec(max_versions=2), newest_version=7, history=(), now_s=0.0
+        )
+        assert [version for version in range(9) if bound.allows(version)] == [5, 6, 7, 8]
+        assert bound.oldest_dispatchable() == 5
+
+    def test_seconds_count_from_the_successor(self) -> None:
+        """A version's age runs from the publication of the first newer one."""
+        history = tuple(VersionTime(version=v, published_at_s=100.0 * v) for v in (1, 2, 3))
+        spec = StalenessSpec(max_versions=9, max_age_s=60.0)
+
+        def allowed(now_s: float) -> list[int]:
+            bound = StalenessBound(spec=spec, newest_version=3, history=history, now_s=now_s)
+            return [version for version in range(4) if bound.allows(version)]
+
+        assert allowed(300.0) == [2, 3]
+        assert allowed(360.0) == [2, 3]
+        assert allowed(361.0) == [3]
+
+
+class TestExpiry:
+    def test_between_commit_and_poll(self) -> None:
+        """Groups that expire after they were committed are made again, and come once."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=0)).start()
+            await scene.submit(submission(1))
+            work = f"rollout/{scene.name}/folders/work"
+            while work not in scene.world.table.rows:  # noqa: ASYNC110
+                await asyncio.sleep(0.5)
+            await scene.publish(1)
+            await scene.collect(16)
+            assert any(sample.generation > 1 for sample in scene.samples.values())
+            assert {sample.oldest_version for sample in scene.samples.values()} == {1}
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_repeated_poll_gets_a_replacement(self) -> None:
+        """A repeated cursor whose delivery expired gets the next generation; the old is void."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=0)).start()
+            await scene.submit(submission(1))
+            first = await scene.ask(0, wait_s=30.0)
+            await scene.publish(1)
+            second = await scene.ask(1, wait_s=30.0)
+            old = {s.sample_id: s.generation for g in first.groups for s in g.samples}
+            new = {s.sample_id: s.generation for g in second.groups for s in g.samples}
+            assert second.cursor > first.cursor
+            assert all(new[name] == old[name] + 1 for name in new if name in old)
+            try:
+                await scene.ask(0, cursor=first.cursor, wait_s=0.0)
+                raise AssertionError("the void cursor was accepted")
+            except CursorConflict as error:
+                assert error.acknowledged_cursor == 0
+            scene.take(second)
+            await scene.collect(16)
+            assert scene.whole == {1: 1}
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_polls_that_declare_different_versions(self) -> None:
+        """Of two polls at once the higher cursor's answer holds for the newer version."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=0), daemons=2).start()
+            await scene.submit(submission(1))
+            await asyncio.sleep(15.0)
+            older = asyncio.create_task(scene.ask(0, wait_s=30.0))
+            await asyncio.sleep(0)
+            await scene.publish(1, index=1)
+            newer = await scene.ask(1, wait_s=60.0)
+            answer = max(await older, newer, key=lambda one: one.cursor)
+            assert answer is newer
+            scene.take(answer)
+            await scene.collect(16)
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_bound_in_seconds(self) -> None:
+        """With a bound in seconds no sample comes later than that after its version's end."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=5, max_age_s=5.0)).start()
+            await scene.submit(submission(1))
+            await asyncio.sleep(5.0)
+            await scene.publish(1)
+            await asyncio.sleep(10.0)
+            await scene.collect(16)
+            assert {sample.oldest_version for sample in scene.samples.values()} == {1}
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_expires_while_generating(self) -> None:
+        """A sample that outlives its bound is stopped and drawn again, not finished in vain."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=0)).start()
+            await scene.submit(submission(1, max_tokens=200))
+            await asyncio.sleep(0.5)
+            await scene.publish(1)
+            await scene.collect(16)
+            assert {sample.oldest_version for sample in scene.samples.values()} == {1}
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+
+class TestLabels:
+    def test_versions_change_under_running_samples(self) -> None:
+        """Samples that cross a swap name each version with the tokens it produced."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=3)).start()
+            await scene.submit(submission(1, groups=8, max_tokens=400))
+            for version in (1, 2, 3):
+                await asyncio.sleep(0.8)
+                await scene.publish(version)
+            await scene.collect(32)
+            assert any(len(sample.spans) > 1 for sample in scene.samples.values())
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_swap_fails_on_every_second_engine(self) -> None:
+        """With failing swaps on half the engines every sample is still labelled and fresh."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=1), engines=4).start()
+            for index in (0, 2):
+                scene.world.engines[f"engine-{index}"].faults.fail_next_swaps = 2
+            for step in (1, 2, 3):
+                await scene.submit(submission(step, groups=6))
+                await scene.collect(24 * step)
+                await scene.publish(step)
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_engine_that_reports_an_old_version(self) -> None:
+        """An engine whose status lags about its version does not spoil labels or freshness."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=0)).start()
+            scene.world.engines["engine-1"].faults.version_report_lag_s = 5.0
+            for step in (1, 2, 3):
+                await scene.submit(submission(step, groups=6))
+                await scene.collect(24 * step)
+                await scene.publish(step)
+            await scene.world.stop()
+
+        run_virtual(scenario())
