--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -85,6 +85,7 @@
             table=self.table,
             objects=self.objects,
             peers=self.peers,
+            metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(
@@ -175,6 +176,8 @@
 
     def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
         self.core = Core(settings, outside)
+        if isinstance(outside.clients, PluginBackendClients):
+            self.core.configuration.subscribe(outside.clients.apply)
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
@@ -190,11 +193,13 @@
         )
         self.core.peers.on_call(EXPLAIN_CALL, partial(answer_explain_call, services))
         host, _, port = settings.listen.rpartition(":")
+        self._guard = build_app(services)
         self._server = HttpServer(
-            build_app(services),
+            self._guard,
             host,
             int(port),
             max_connections=settings.limits.max_connections,
+            header_timeout_s=settings.limits.header_timeout_s,
         )
 
     @property
@@ -211,7 +216,10 @@
     async def stop(self) -> None:
         """Become unready, let every request in flight end, then stop."""
         self.core.ready = False
+        await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
+        self._guard.draining = True
         await self._server.stop()
+        await self.core.dispatcher.drain()
         await self.core.stop()
 
     async def kill(self) -> None:
@@ -230,11 +238,7 @@
         objects=HttpObjectStore(url),
         hosts=HttpHostList(url),
         weights=HttpWeightStore(url),
-        clients=PluginBackendClients(
-            engine_adapter=lambda _: "openai-http",
-            service_adapter=lambda _: "service-http",
-            scoring_adapter=lambda _: "scoring-http",
-        ),
+        clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
     )
 
