--- a/src/verbenawind/membership/gossip.py
+++ b/src/verbenawind/membership/gossip.py
@@ -19,7 +19,10 @@
 
 _PUSHED_BODY_BYTES = 512
 _SYNC_SPACING_S = 0.5
-_SETTLING_S = 0.3
+_SETTLING_S = 0.5
+_QUIET_S = 2.5
+_BUCKETS_SKIPPED = 8
+_REPEATS_TO_PRUNE = 4
 
 
 class Gossip:
@@ -65,31 +68,47 @@
 
     def heartbeat(self, link: Link) -> None:
         """Send a sign of life, with the digests of one bucket more each time."""
-        link.beats += 1
-        turn, bucket = divmod(link.beats, BUCKETS)
-        in_zone = link.peer.zone == self._zone
-        bulk = ItemClass.BULK_IN_ZONE if in_zone and turn % 2 else ItemClass.BULK
+        bulk, bucket = self._next_bucket(link)
+        quiet = self._store.quiet_s(bulk, bucket) >= _QUIET_S
         link.post(
             Heartbeat(
-                urgent_digest=self._store.total_digest(ItemClass.URGENT),
+                urgent_digest=(
+                    self._store.total_digest(ItemClass.URGENT) if self._settled() else None
+                ),
                 bulk_class=int(bulk),
                 bucket=bucket,
-                bucket_digest=self._store.bucket_digests(bulk)[bucket],
+                bucket_digest=self._store.bucket_digests(bulk)[bucket] if quiet else None,
             )
         )
 
+    def _next_bucket(self, link: Link) -> tuple[ItemClass, int]:
+        """Return the next bucket to compare on a link, past those that changed lately."""
+        for _ in range(_BUCKETS_SKIPPED):
+            link.beats += 1
+            turn, bucket = divmod(link.beats, BUCKETS)
+            in_zone = link.peer.zone == self._zone
+            bulk = ItemClass.BULK_IN_ZONE if in_zone and turn % 2 else ItemClass.BULK
+            if self._store.quiet_s(bulk, bucket) >= _QUIET_S:
+                break
+        return bulk, bucket
+
+    def _settled(self) -> bool:
+        return self._clock.monotonic_s() - self._urgent_at_s >= _SETTLING_S
+
     def on_heartbeat(self, link: Link, message: Heartbeat) -> None:
         """Compare digests, and start a repair where they differ."""
         now_s = self._clock.monotonic_s()
         if now_s - link.synced_at_s < _SYNC_SPACING_S:
             return
-        settled = now_s - self._urgent_at_s >= _SETTLING_S
-        if settled and message.urgent_digest != self._store.total_digest(ItemClass.URGENT):
+        own_digest = self._store.total_digest(ItemClass.URGENT)
+        if self._settled() and message.urgent_digest not in (None, own_digest):
             link.synced_at_s = now_s
             digests = tuple(self._store.bucket_digests(ItemClass.URGENT))
             link.post(BucketDigests(item_class=int(ItemClass.URGENT), digests=digests))
         bulk = ItemClass(message.bulk_class)
-        if self._store.bucket_digests(bulk)[message.bucket] != message.bucket_digest:
+        own_digest = self._store.bucket_digests(bulk)[message.bucket]
+        quiet = self._store.quiet_s(bulk, message.bucket) >= _QUIET_S
+        if quiet and message.bucket_digest not in (None, own_digest):
             link.synced_at_s = now_s
             self._summarize(link, bulk, (message.bucket,))
 
@@ -115,6 +134,8 @@
         theirs = dict(message.entries)
         missing = tuple(key for key, content in theirs.items() if own.get(key) != content)
         if missing:
+            if item_class is not ItemClass.URGENT:
+                link.eager = True
             link.post(Want(item_class=int(item_class), key_hashes=missing))
         if not message.buckets:
             return
@@ -135,13 +156,13 @@
 
     def on_items(self, link: Link, message: Items) -> None:
         """Merge items; a bulk item that is known already prunes the link from the tree."""
-        known_bulk = 0
         for entry in message.entries:
             item = entry.item()
             new = self.spread(item, link)
-            if not new and self._store.class_of(item.kind) is not ItemClass.URGENT:
-                known_bulk += 1
-        if known_bulk == len(message.entries) and link.eager and self._other_eager(link):
+            if self._store.class_of(item.kind) is not ItemClass.URGENT:
+                link.repeats = max(0, link.repeats + (-1 if new else 1))
+        if link.repeats >= _REPEATS_TO_PRUNE and link.eager and self._other_eager(link):
+            link.repeats = 0
             link.eager = False
             link.post(Prune())
 
@@ -165,7 +186,7 @@
     def _send_on(self, link: Link, item: SpreadItem, item_class: ItemClass) -> None:
         if item_class is not ItemClass.URGENT:
             if link.eager:
-                link.post_item(item)
+                link.post_item(item, bulk=True)
             return
         if len(item.body) <= _PUSHED_BODY_BYTES:
             link.post_item(item)
--- a/src/verbenawind/membership/link.py
+++ b/src/verbenawind/membership/link.py
@@ -14,6 +14,7 @@
 __all__ = ["Link", "Traffic"]
 
 _FLUSH_DELAY_S = 0.02
+_BULK_SPACING_S = 0.3
 _MAX_QUEUED_MESSAGES = 512
 
 
@@ -45,6 +46,8 @@
         "_clock",
         "_items",
         "_messages",
+        "_pending",
+        "_sent_at_s",
         "_traffic",
         "_wake",
         "beats",
@@ -56,6 +59,7 @@
         "parted",
         "peer",
         "probed_at_s",
+        "repeats",
         "synced_at_s",
         "unwanted_since_s",
     )
@@ -69,6 +73,8 @@
         self._items: dict[tuple[str, str], SpreadItem] = {}
         self._messages: list[Message] = []
         self._wake = asyncio.Event()
+        self._pending = asyncio.Event()
+        self._sent_at_s = float("-inf")
         self.peer = peer
         self.dialled = dialled
         self.opened_at_s = clock.monotonic_s()
@@ -76,6 +82,7 @@
         self.closed = False
         self.parted = False
         self.eager = True
+        self.repeats = 0
         self.heard_at_s = self.opened_at_s
         self.synced_at_s = float("-inf")
         self.probed_at_s: float | None = None
@@ -89,11 +96,17 @@
             self.closed = True
         self._messages.append(message)
         self._wake.set()
+        self._pending.set()
 
-    def post_item(self, item: SpreadItem) -> None:
-        """Queue an item; it replaces an older one of its key that still waits."""
+    def post_item(self, item: SpreadItem, *, bulk: bool = False) -> None:
+        """Queue an item; it replaces an older one of its key that still waits.
+
+        Bulk items wait for company while the link has been busy.
+        """
         self._items[(item.kind, item.key)] = item
-        self._wake.set()
+        if not bulk:
+            self._wake.set()
+        self._pending.set()
 
     async def run(self, handle: Callable[["Link", Message], Awaitable[None]]) -> None:
         """Pass messages both ways until the link closes."""
@@ -126,6 +139,7 @@
         if not messages:
             return
         data = encode(messages)
+        self._sent_at_s = self._clock.monotonic_s()
         self._traffic.sent_bytes += len(data)
         self._traffic.sent_frames += 1
         await self._channel.send(data)
@@ -144,10 +158,21 @@
         with contextlib.suppress(PeerUnreachable):
             await self._channel.aclose()
 
+    async def _gather(self) -> None:
+        """Wait for more bulk items if a frame went out lately, unless something else is due."""
+        wait_s = self._sent_at_s + _BULK_SPACING_S - self._clock.monotonic_s()
+        if wait_s <= 0 or self._wake.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._wake.wait()
+
     async def _write(self) -> None:
         while not self.closed:
-            await self._wake.wait()
+            await self._pending.wait()
             await self._clock.sleep(_FLUSH_DELAY_S)
+            await self._gather()
+            self._pending.clear()
             self._wake.clear()
             try:
                 await self.flush()
--- a/src/verbenawind/membership/roster.py
+++ b/src/verbenawind/membership/roster.py
@@ -15,8 +15,8 @@
 __all__ = ["MEMBER_KIND", "Member", "MemberStatus", "Roster"]
 
 MEMBER_KIND = "member"
-REFRESH_S = 120.0
-_UNREFRESHED_S = 400.0
+_REFRESH_S = 600.0
+_UNREFRESHED_S = 2000.0
 _ENDED_KEPT_S = 120.0
 _SUSPICION_S = 1.0
 _CONFLICTS_TOLERATED = 3
@@ -71,6 +71,7 @@
         "_location",
         "_log",
         "_members",
+        "_refresh_s",
         "_refreshed_at_s",
         "_sequence",
         "_spread",
@@ -99,6 +100,7 @@
         self._conflicts = 0
         self._sequence = 0
         self._refreshed_at_s = 0.0
+        self._refresh_s = _REFRESH_S * (0.75 + 0.5 * (boot % 1024) / 1024)
         self._log = structlog.get_logger("membership")
         self.peer_id = peer_id
         self.address = ""
@@ -178,7 +180,7 @@
             elif idle_s >= (_UNREFRESHED_S if member.present else _ENDED_KEPT_S):
                 self._members.pop(member.peer.peer_id)
                 self._store.drop(MEMBER_KIND, member.peer.peer_id)
-        if now_s - self._refreshed_at_s >= REFRESH_S and not self.superseded:
+        if now_s - self._refreshed_at_s >= self._refresh_s and not self.superseded:
             self._sequence += 1
             self._publish(MemberStatus.ALIVE)
 
--- a/src/verbenawind/membership/store.py
+++ b/src/verbenawind/membership/store.py
@@ -11,7 +11,7 @@
 
 __all__ = ["BUCKETS", "ItemClass", "SpreadStore"]
 
-BUCKETS = 32
+BUCKETS = 64
 _MAX_ITEMS_PER_KIND = 4096
 _MAX_BODY_BYTES = 1024 * 1024
 _TOMBSTONE_S = 900.0
@@ -55,12 +55,13 @@
         clock: Gives the wall-clock time that expiry is judged by.
     """
 
-    __slots__ = ("_by_hash", "_clock", "_digests", "_kinds", "_log", "_tombstones")
+    __slots__ = ("_by_hash", "_changed_at_s", "_clock", "_digests", "_kinds", "_log", "_tombstones")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._kinds: dict[str, dict[str, _Held]] = {}
         self._by_hash: dict[tuple[ItemClass, int], dict[int, _Held]] = {}
+        self._changed_at_s = {item_class: [0.0] * BUCKETS for item_class in ItemClass}
         self._digests = {item_class: [0] * BUCKETS for item_class in ItemClass}
         self._tombstones: dict[tuple[str, str], tuple[tuple[int, ...], float]] = {}
         self._log = structlog.get_logger("membership")
@@ -135,6 +136,10 @@
         """Return the digest of each bucket of a class."""
         return tuple(self._digests[item_class])
 
+    def quiet_s(self, item_class: ItemClass, bucket: int) -> float:
+        """Return for how long nothing was added to a bucket, in seconds."""
+        return self._clock.monotonic_s() - self._changed_at_s[item_class][bucket]
+
     def hashes(self, item_class: ItemClass, buckets: Iterable[int]) -> Mapping[int, int]:
         """Return the content hash by key hash of what some buckets hold."""
         return {
@@ -162,6 +167,7 @@
         self._kinds[held.item.kind][held.item.key] = held
         self._by_hash.setdefault((held.item_class, bucket), {})[held.key_hash] = held
         self._digests[held.item_class][bucket] ^= held.item_hash
+        self._changed_at_s[held.item_class][bucket] = self._clock.monotonic_s()
 
     def _remove(self, held: _Held) -> None:
         bucket = held.key_hash % BUCKETS
--- a/src/verbenawind/membership/watching.py
+++ b/src/verbenawind/membership/watching.py
@@ -31,9 +31,10 @@
 _FAILURES_TO_SUSPECT = 2
 _SUSPECT_S = 6.0
 _SUSPECT_REFRESH_S = 3.0
-_LOAD_UPDATES_PER_S = 10.0
+_LOAD_UPDATES_PER_S = 4.0
 _MIN_LOAD_SPACING_S = 0.5
 _RANKS_KEPT = 16_384
+_SWAP_STATES = (SwapState.IDLE, SwapState.STAGING, SwapState.SWAPPING, SwapState.FAILED)
 
 
 class _Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -44,7 +45,7 @@
     max_running: int
     leaving: bool
     fencing_number: int
-    models: tuple[tuple[str, int | None, tuple[int, ...], SwapState], ...]
+    models: tuple[tuple[str, int | None, tuple[int, ...], int], ...]
 
 
 class _Watched:
@@ -277,9 +278,8 @@
     """Return what peers must know at once when it changes."""
     return (
         status.incarnation,
-        status.models,
+        tuple((model.model, model.active_version, model.swap_state) for model in status.models),
         status.leaving,
-        status.fencing_number,
         status.max_running,
     )
 
@@ -297,7 +297,12 @@
         leaving=status.leaving,
         fencing_number=status.fencing_number,
         models=tuple(
-            (model.model, model.active_version, model.staged_versions, model.swap_state)
+            (
+                model.model,
+                model.active_version,
+                model.staged_versions,
+                _SWAP_STATES.index(model.swap_state),
+            )
             for model in status.models
         ),
     )
@@ -310,7 +315,10 @@
         incarnation=item.rank[0],
         models=tuple(
             ModelStatus(
-                model=model, active_version=active, staged_versions=staged, swap_state=state
+                model=model,
+                active_version=active,
+                staged_versions=staged,
+                swap_state=_SWAP_STATES[state],
             )
             for model, active, staged, state in summary.models
         ),
--- a/src/verbenawind/membership/wire.py
+++ b/src/verbenawind/membership/wire.py
@@ -1,5 +1,6 @@
 """The messages between daemons and their CBOR form."""
 
+import zlib
 from collections.abc import Iterable, Sequence
 
 import cbor2
@@ -42,7 +43,7 @@
     key: str
     rank: tuple[int, ...]
     body: bytes
-    expires_at_s: float = 0.0
+    expires_at_s: float | int = 0
 
     @classmethod
     def of(cls, item: SpreadItem) -> "Entry":
@@ -52,7 +53,7 @@
             key=item.key,
             rank=item.rank,
             body=item.body,
-            expires_at_s=item.expires_at_s,
+            expires_at_s=item.expires_at_s or 0,
         )
 
     def item(self) -> SpreadItem:
@@ -62,7 +63,7 @@
             key=self.key,
             rank=self.rank,
             body=self.body,
-            expires_at_s=self.expires_at_s,
+            expires_at_s=float(self.expires_at_s),
         )
 
 
@@ -92,12 +93,15 @@
 
 
 class Heartbeat(_Message, frozen=True, kw_only=True, array_like=True, tag=3):
-    """Says that the sender lives, and digests of what it holds."""
+    """Says that the sender lives, and digests of what it holds.
 
-    urgent_digest: int
+    A digest of what changed lately is left out: it would differ from the receiver's for a while.
+    """
+
+    urgent_digest: int | None
     bulk_class: int
     bucket: int
-    bucket_digest: int
+    bucket_digest: int | None
 
 
 class Ping(_Message, frozen=True, kw_only=True, array_like=True, tag=4):
@@ -192,18 +196,35 @@
     | Reply
     | Bye
 )
+
+_COMPRESSED_FROM_BYTES = 128
+_COMPRESSION_LEVEL = 6
+_ZLIB_MARK = b"\x78"  # No CBOR array of messages begins with this byte.
+_MAX_FRAME_BYTES = 16 * 1024 * 1024
 _MESSAGES = tuple[Message, ...]
 
 
 def encode(messages: Iterable[Message]) -> bytes:
     """Return one frame that holds *messages* in order."""
     built = [msgspec.to_builtins(message, builtin_types=(bytes,)) for message in messages]
-    return cbor2.dumps(built)
+    frame = cbor2.dumps(built)
+    if len(frame) < _COMPRESSED_FROM_BYTES:
+        return frame
+    return zlib.compress(frame, _COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> Sequence[Message]:
     """Return the messages of a frame; raises PeerUnreachable when it is malformed."""
     try:
-        return msgspec.convert(cbor2.loads(data), type=_MESSAGES)
-    except (cbor2.CBORError, msgspec.ValidationError) as error:
+        frame = _decompress(data) if data[:1] == _ZLIB_MARK else data
+        return msgspec.convert(cbor2.loads(frame), type=_MESSAGES)
+    except (cbor2.CBORError, msgspec.ValidationError, zlib.error) as error:
         raise PeerUnreachable(f"malformed frame of {len(data)} bytes: {error}") from error
+
+
+def _decompress(data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    frame = inflater.decompress(data, _MAX_FRAME_BYTES)
+    if not inflater.eof:
+        raise PeerUnreachable(f"frame of more than {_MAX_FRAME_BYTES} bytes")
+    return frame
