--- a/src/verbenawind/api/callers.py
+++ b/src/verbenawind/api/callers.py
@@ -12,7 +12,7 @@
 )
 from verbenawind.api.completion_requests import ChatRequest, CompletionRequest
 from verbenawind.api.errors import note_failure
-from verbenawind.api.headers import deadline_s, decoded_body, request_id
+from verbenawind.api.headers import deadline_s, decoded_body, reconnects, request_id
 from verbenawind.api.replies import json_response
 from verbenawind.api.services import ApiServices, caller_of
 from verbenawind.api.streams import EventStream, until_disconnected
@@ -118,6 +118,7 @@
         temperature=_DEFAULT_TEMPERATURE if body.temperature is None else body.temperature,
         deadline_s=deadline_s(request, services, caller.default_timeout_s),
         priority=caller.priority,
+        reconnect=reconnects(request),
     )
 
 
