--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -18,7 +18,7 @@
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import GossipBus
+from verbenawind.membership import FleetWatcher, GossipBus
 from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
@@ -30,7 +30,6 @@
 )
 from verbenawind.rollout import Rollouts
 from verbenawind.routing import Dispatcher, RoutingPolicy
-from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
 from verbenawind.weights import WeightsController
@@ -86,9 +85,17 @@
             table=self.table,
             objects=self.objects,
             peers=self.peers,
+            metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
-        self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
+        self.watcher = FleetWatcher(
+            fleet=self.fleet,
+            hosts=outside.hosts,
+            clients=outside.clients,
+            peers=self.peers,
+            clock=clock,
+            rng=rng,
+        )
         self.rollouts = Rollouts(
             table=self.table,
             objects=self.objects,
@@ -169,6 +176,8 @@
 
     def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
         self.core = Core(settings, outside)
+        if isinstance(outside.clients, PluginBackendClients):
+            self.core.configuration.subscribe(outside.clients.apply)
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
@@ -210,6 +219,7 @@
         await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
         self._guard.draining = True
         await self._server.stop()
+        await self.core.dispatcher.drain()
         await self.core.stop()
 
     async def kill(self) -> None:
@@ -228,11 +238,7 @@
         objects=HttpObjectStore(url),
         hosts=HttpHostList(url),
         weights=HttpWeightStore(url),
-        clients=PluginBackendClients(
-            engine_adapter=lambda _: "openai-http",
-            service_adapter=lambda _: "service-http",
-            scoring_adapter=lambda _: "scoring-http",
-        ),
+        clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
     )
 
