--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Sets of strings iterate in one order, so that every run gives the same verdict.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench fuzz
+.PHONY: demo test lint format bench fuzz replay
 
 $(VENV)/.installed:
 	python3 -m venv $(VENV)
@@ -34,3 +34,6 @@
 
 fuzz: | $(VENV)/.installed
 	VERBENAWIND_FUZZ_SEED=$(SEED) VERBENAWIND_FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest tests/fuzz
+
+replay: | $(VENV)/.installed
+	PYTHONPATH=src $(PYTHON) -m verbenawind.traces tests/traces/*.jsonl tests/traces/long/*.jsonl
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -32,6 +32,7 @@
 from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
+from verbenawind.traces import LiveRecording
 from verbenawind.weights import WeightsController
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
@@ -178,12 +179,14 @@
         self.core = Core(settings, outside)
         if isinstance(outside.clients, PluginBackendClients):
             self.core.configuration.subscribe(outside.clients.apply)
+        self._recording = _recording(self.core, settings.trace_file)
+        recorder = self._recording.recorder if self._recording else None
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
-            generator=self.core.dispatcher,
-            service_caller=self.core.dispatcher,
-            rollouts=self.core.rollouts,
+            generator=recorder or self.core.dispatcher,
+            service_caller=recorder or self.core.dispatcher,
+            rollouts=recorder or self.core.rollouts,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
@@ -211,6 +214,8 @@
         """Start the core, then serve."""
         record_decisions_in(self.core.decisions)
         await self.core.start()
+        if self._recording is not None:
+            self._recording.begin()
         await self._server.start()
 
     async def stop(self) -> None:
@@ -221,6 +226,8 @@
         await self._server.stop()
         await self.core.dispatcher.drain()
         await self.core.stop()
+        if self._recording is not None:
+            self._recording.close()
 
     async def kill(self) -> None:
         """Die at once, as a crash would."""
@@ -228,6 +235,21 @@
         await self._server.kill()
 
 
+def _recording(core: Core, path: str) -> LiveRecording | None:
+    if not path:
+        return None
+    return LiveRecording(
+        path,
+        core.outside.clock,
+        fleet=core.fleet,
+        peers=core.peers,
+        configuration=core.configuration,
+        generator=core.dispatcher,
+        services=core.dispatcher,
+        rollouts=core.rollouts,
+    )
+
+
 def connect_outside(settings: DaemonSettings) -> Outside:
     """Return the adapters to everything outside, as the settings name them."""
     url = settings.platform_url
--- a/src/verbenawind/settings.py
+++ b/src/verbenawind/settings.py
@@ -55,6 +55,7 @@
     peer_seeds: tuple[Address, ...] = ()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     unready_grace_s: Annotated[float, Meta(ge=0.0)] = 1.0
+    trace_file: str = ""
     limits: LimitSettings = LimitSettings()
 
 
--- a/src/verbenawind/standins/scene.py
+++ b/src/verbenawind/standins/scene.py
@@ -1,14 +1,20 @@
 """Trainers, callers and operators around a world, all watched by the oracle."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine
+from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine, Sequence
 from random import Random
 from typing import Any, TypeVar
 
 import msgspec
 
 from verbenawind import ids
-from verbenawind.document import EnvironmentDocument, EnvironmentRevision, Stage, TrainerSpec
+from verbenawind.document import (
+    CallerKind,
+    EnvironmentDocument,
+    EnvironmentRevision,
+    Stage,
+    TrainerSpec,
+)
 from verbenawind.errors import CursorConflict, VerbenawindError
 from verbenawind.kernel.messages import (
     EngineEvent,
@@ -64,17 +70,27 @@
         seed: Seed of all randomness, that of identifiers too.
         document: The environment document, accepted on start.
         daemons: How many daemons run, one availability zone after another.
+        regions: The regions, each with one availability zone.
     """
 
-    def __init__(self, seed: int, document: EnvironmentDocument, *, daemons: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        document: EnvironmentDocument,
+        *,
+        daemons: int = 3,
+        regions: Sequence[str] = ("bangkok", "chiang-mai", "hat-yai"),
+    ) -> None:
         _seed_identifiers(seed)
-        self.world = World(seed)
+        self.world = World(seed, regions)
         self.clock = self.world.clock
         self.oracle = Oracle()
         self.document = document
         self.daemon_ids = [f"daemon-{index}" for index in range(daemons)]
         self.trainers = {spec.name: TrainerState(spec) for spec in document.trainers}
-        self.events: list[tuple[float, str]] = []
+        self._caller = next(
+            (spec.name for spec in document.callers if spec.kind is CallerKind.APPLICATION), "none"
+        )
         self._revision: EnvironmentRevision | None = None
         self._calls: dict[str, set[asyncio.Task[Any]]] = {}
         self._background: set[asyncio.Task[Any]] = set()
@@ -226,14 +242,16 @@
 
     # Callers.
 
-    def ask(self, index: int, prompt: str, *, max_tokens: int = 64) -> asyncio.Task[bool]:
+    def ask(
+        self, index: int, prompt: str, *, max_tokens: int = 64, model_name: str = ""
+    ) -> asyncio.Task[bool]:
         """Start a generation for an application caller; true when it was answered."""
         self._next_request += 1
-        model = self.document.models[0]
+        model = self.document.model(model_name) or self.document.models[0]
         request = GenerateRequest(
             request_id=f"ask-{self._next_request}",
             environment=self.revision.name,
-            caller="desk",
+            caller=self._caller,
             kind=WorkKind.APPLICATION,
             model=model.name,
             pool=model.pool,
@@ -245,15 +263,15 @@
         return self._start(self._ask(index, request))
 
     def book(
-        self, index: int, key: str, body: str, *, idempotent: bool = False
+        self, index: int, key: str, body: str, *, idempotent: bool = False, service: str = ""
     ) -> asyncio.Task[bool]:
         """Start a call to the plain service; true when it was answered."""
         self._next_request += 1
         request = ServiceRequest(
             request_id=f"book-{self._next_request}",
             environment=self.revision.name,
-            caller="desk",
-            service=self.document.services[0].name,
+            caller=self._caller,
+            service=(self.document.service(service) or self.document.services[0]).name,
             method="GET" if idempotent else "POST",
             path="/cards" if idempotent else "/bookings",
             query="",
@@ -460,7 +478,8 @@
 
     async def _book(self, index: int, request: ServiceRequest) -> bool:
         core = self.world.daemons[self.daemon_ids[index]]
-        spec = self.document.services[0]
+        spec = self.document.service(request.service)
+        assert spec is not None
         try:
             response: ServiceResponse = await self._call(
                 index, request.request_id, core.dispatcher.call_service(request, spec)
--- /dev/null
+++ b/src/verbenawind/traces/faults.py
@@ -0,0 +1,99 @@
+"""Applies a trace's faults to a scene; each kind registers how."""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenawind.standins.scene import Scene
+from verbenawind.traces.types import Fault, FaultKind
+
+__all__ = ["apply_fault"]
+
+_SLOWDOWN = 10
+_APPLY: dict[FaultKind, Callable[[Scene, Fault], None]] = {}
+
+Apply = Callable[[Scene, Fault], None]
+
+
+def apply_fault(scene: Scene, fault: Fault) -> None:
+    """Let the fault happen, and end by itself where it lasts."""
+    _APPLY[fault.kind](scene, fault)
+
+
+def _register(kind: FaultKind) -> Callable[[Apply], Apply]:
+    def register(apply: Apply) -> Apply:
+        _APPLY[kind] = apply
+        return apply
+
+    return register
+
+
+def _engine_id(scene: Scene, index: int) -> str:
+    return sorted(scene.world.engines)[index % len(scene.world.engines)]
+
+
+def _later(scene: Scene, fault: Fault, undo: Callable[[], object]) -> None:
+    async def wait() -> None:
+        await scene.clock.sleep(fault.duration_s)
+        undone = undo()
+        if asyncio.iscoroutine(undone):
+            await undone
+
+    scene.spawn(wait())
+
+
+@_register(FaultKind.CRASH_ENGINE)
+def _crash_engine(scene: Scene, fault: Fault) -> None:
+    engine = scene.world.engines[_engine_id(scene, fault.target)]
+    engine.crash()
+    _later(scene, fault, engine.restart)
+
+
+@_register(FaultKind.FAIL_SWAPS)
+def _fail_swaps(scene: Scene, fault: Fault) -> None:
+    scene.world.engines[_engine_id(scene, fault.target)].faults.fail_next_swaps += 1
+
+
+@_register(FaultKind.SLOW_ENGINE)
+def _slow_engine(scene: Scene, fault: Fault) -> None:
+    profile = scene.world.engines[_engine_id(scene, fault.target)].profile
+    usual_s = profile.tick_s
+    profile.tick_s = usual_s * _SLOWDOWN
+    _later(scene, fault, lambda: setattr(profile, "tick_s", usual_s))
+
+
+@_register(FaultKind.CUT_ZONE)
+def _cut_zone(scene: Scene, fault: Fault) -> None:
+    scene.cut(fault.target, platform=True)
+    scene.cut(fault.target, platform=False)
+    _later(scene, fault, scene.world.network.heal)
+
+
+@_register(FaultKind.KILL_DAEMON)
+def _kill_daemon(scene: Scene, fault: Fault) -> None:
+    scene.spawn(scene.kill_daemon(fault.target))
+    _later(scene, fault, lambda: scene.start_daemon(fault.target))
+
+
+@_register(FaultKind.PAUSE_DAEMON)
+def _pause_daemon(scene: Scene, fault: Fault) -> None:
+    scene.pause(fault.target)
+    _later(scene, fault, lambda: scene.resume(fault.target))
+
+
+@_register(FaultKind.STORE_DOWN)
+def _store_down(scene: Scene, fault: Fault) -> None:
+    scene.oracle.disturb(scene.clock.monotonic_s())
+    stores = (scene.world.table, scene.world.objects)
+
+    def set_down(down: bool) -> None:
+        for store in stores:
+            store.faults.down = down
+
+    set_down(True)
+    _later(scene, fault, lambda: set_down(False))
+
+
+@_register(FaultKind.LOSE_SERVICE_ANSWER)
+def _lose_service_answer(scene: Scene, _: Fault) -> None:
+    for service in scene.world.services.values():
+        service.lose_next_answers = 1
--- /dev/null
+++ b/src/verbenawind/traces/replay.py
@@ -0,0 +1,278 @@
+"""Replays a trace on virtual time over stand-ins and states what held."""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+
+from verbenawind.errors import InvalidRequest
+from verbenawind.kernel.rollouts import PromptGroup, Sampling, StepSubmission
+from verbenawind.standins.engine import CRASH_MARK, EngineProfile
+from verbenawind.standins.oracle import Promise, Violation
+from verbenawind.standins.scene import Scene
+from verbenawind.standins.world import run_virtual
+from verbenawind.traces.faults import apply_fault
+from verbenawind.traces.files import Trace
+from verbenawind.traces.types import (
+    Ask,
+    Call,
+    DocumentChange,
+    Event,
+    Fault,
+    Publish,
+    Step,
+    Train,
+)
+
+__all__ = ["Replay", "replay"]
+
+_POLL_PAUSE_S = 0.2
+_RESTART_S = 8.0
+_SETTLE_S = 20.0
+_MAX_TRAINING_S = 4 * 3600.0
+_TICK_S = 0.05
+_TOKENS_PER_TICK = 5
+
+
+class Replay(msgspec.Struct, frozen=True, kw_only=True):
+    """What a replay showed.
+
+    ``waited_s`` holds, for each whole step, the time from its submission until the trainer had
+    all of it; ``idle_s`` the time that closed-loop trainers waited for samples.
+    """
+
+    name: str
+    violations: tuple[Violation, ...]
+    differences: tuple[str, ...]
+    whole_steps: dict[str, int]
+    answered: int
+    asked: int
+    waited_s: tuple[float, ...]
+    idle_s: float
+    trained_s: float
+    staleness_versions: tuple[int, ...]
+    duration_s: float
+
+    @property
+    def held(self) -> dict[Promise, bool]:
+        """Whether each promise held."""
+        broken = {violation.promise for violation in self.violations}
+        return {promise: promise not in broken for promise in Promise}
+
+
+def replay(trace: Trace) -> Replay:
+    """Replay a trace in a loop of its own."""
+    return run_virtual(_Replayer(trace).run())
+
+
+class _Replayer:
+    def __init__(self, trace: Trace) -> None:
+        self._trace = trace
+        self._events = list(trace.events)
+        self._waiting: dict[tuple[str, int], tuple[float, int]] = {}
+        self._whole: Counter[str] = Counter()
+        self._waited_s: list[float] = []
+        self._idle_s = 0.0
+        self._trained_s = 0.0
+        self._answers: list[asyncio.Task[bool]] = []
+        self._training: list[asyncio.Task[None]] = []
+
+    async def run(self) -> Replay:
+        self._scene = scene = self._build()
+        await scene.start()
+        started_s = scene.clock.monotonic_s()
+        polls = [asyncio.ensure_future(self._poll(name)) for name in scene.trainers]
+        polls.append(asyncio.ensure_future(self._restart_crashed()))
+        for event in self._events:
+            await scene.clock.sleep(max(0.0, started_s + event.at_s - scene.clock.monotonic_s()))
+            await self._apply(event)
+        ends_at_s = started_s + max((_end_s(event) for event in self._events), default=0.0)
+        await scene.clock.sleep(max(0.0, ends_at_s - scene.clock.monotonic_s()))
+        if self._training:
+            await asyncio.wait(self._training, timeout=_MAX_TRAINING_S)
+        await scene.heal()
+        await scene.clock.sleep(_SETTLE_S)
+        scene.calm()
+        for poll in polls:
+            poll.cancel()
+        await asyncio.gather(*polls, return_exceptions=True)
+        await scene.quiet()
+        self._note_whole()
+        return await self._finish(started_s)
+
+    def _build(self) -> Scene:
+        header = self._trace.header
+        if not self._events or not isinstance(self._events[0], DocumentChange):
+            raise InvalidRequest(f"trace {header.name!r} has no document at its start")
+        document = self._events[0].document
+        del self._events[0]
+        scene = Scene(header.seed, document, daemons=header.daemons, regions=header.regions)
+        models = {
+            pool: {spec.name: spec.initial_version for spec in document.models if spec.pool == pool}
+            for pool in header.engines
+        }
+        for pool, count in header.engines.items():
+            for index in range(count):
+                scene.world.add_engine(
+                    f"{pool}-{index}",
+                    pool,
+                    models[pool],
+                    zone_index=index,
+                    profile=EngineProfile(tick_s=_TICK_S, tokens_per_tick=_TOKENS_PER_TICK),
+                )
+        for service, count in header.services.items():
+            for index in range(count):
+                scene.world.add_service(f"{service}-{index}", service, zone_index=index)
+        return scene
+
+    async def _apply(self, event: Event) -> None:
+        scene = self._scene
+        if isinstance(event, Fault):
+            apply_fault(scene, event)
+        elif isinstance(event, Ask):
+            mark = CRASH_MARK if event.crashes else ""
+            prompt = f"{event.digest}{mark}".ljust(event.prompt_characters, ".")
+            asked = scene.ask(
+                event.daemon, prompt, max_tokens=event.max_tokens, model_name=event.model
+            )
+            self._answers.append(asked)
+        elif isinstance(event, Call):
+            booking = scene.book(
+                event.daemon,
+                event.key,
+                event.digest,
+                idempotent=not event.key,
+                service=event.service,
+            )
+            self._answers.append(booking)
+        elif isinstance(event, DocumentChange):
+            scene.spawn(scene.accept(event.daemon, event.document))
+        elif isinstance(event, Publish):
+            scene.spawn(scene.publish(event.daemon, event.trainer))
+        elif isinstance(event, Step):
+            scene.spawn(self._submit(event.daemon, event.trainer, _submission_of(event)))
+        elif isinstance(event, Train):
+            self._training.append(asyncio.ensure_future(self._train(event)))
+
+    async def _submit(self, daemon: int, trainer: str, submission: StepSubmission) -> None:
+        samples = sum(group.size for group in submission.groups)
+        self._waiting[(trainer, submission.step)] = (self._scene.clock.monotonic_s(), samples)
+        turn = daemon
+        while not await self._scene.submit(turn % self._daemons, trainer, submission):
+            turn += 1
+            await self._scene.clock.sleep(_POLL_PAUSE_S)
+
+    async def _train(self, event: Train) -> None:
+        """Take steps in a closed loop, one step submitted ahead."""
+        clock = self._scene.clock
+        await self._submit(0, event.trainer, _closed_step(event, 1))
+        for step in range(1, event.steps + 1):
+            if step < event.steps:
+                await self._submit(step, event.trainer, _closed_step(event, step + 1))
+            began_s = clock.monotonic_s()
+            while (event.trainer, step) in self._waiting:
+                await clock.sleep(_POLL_PAUSE_S)
+            self._idle_s += clock.monotonic_s() - began_s
+            await clock.sleep(event.train_s)
+            self._trained_s += event.train_s
+            version, turn = self._scene.trainers[event.trainer].version, step
+            while self._scene.trainers[event.trainer].version == version:
+                await self._scene.publish(turn % self._daemons, event.trainer)
+                turn += 1
+
+    async def _poll(self, trainer: str) -> None:
+        turn = 0
+        while True:
+            turn += 1
+            await self._scene.poll(turn % self._daemons, trainer)
+            self._note_whole()
+            await self._scene.grade(turn % self._daemons, trainer, limit=64)
+            await self._scene.clock.sleep(_POLL_PAUSE_S)
+
+    async def _restart_crashed(self) -> None:
+        """Bring crashed engines back after a while, as the platform does."""
+        while True:
+            await self._scene.clock.sleep(_RESTART_S)
+            for engine in self._scene.world.engines.values():
+                if engine.down:
+                    engine.restart()
+
+    def _note_whole(self) -> None:
+        now_s = self._scene.clock.monotonic_s()
+        for trainer in self._scene.trainers:
+            held = Counter(sample.step for sample in self._scene.oracle.kept_samples(trainer))
+            for (name, step), (since_s, samples) in list(self._waiting.items()):
+                if name == trainer and held[step] >= samples:
+                    del self._waiting[(name, step)]
+                    self._whole[trainer] += 1
+                    self._waited_s.append(now_s - since_s)
+
+    async def _finish(self, started_s: float) -> Replay:
+        scene, stated = self._scene, self._trace.stated
+        if self._answers:
+            await asyncio.wait(self._answers)
+        answered = sum(task.result() for task in self._answers)
+        scene.collect()
+        scene.look()
+        violations = tuple(scene.oracle.judge())
+        runs: Counter[str] = Counter()
+        for service in scene.world.services.values():
+            runs.update(service.runs)
+        differences = [
+            f"trainer {trainer}: {self._whole[trainer]} whole steps, stated {steps}"
+            for trainer, steps in stated.whole_steps.items()
+            if self._whole[trainer] != steps
+        ]
+        differences += [
+            f"booking {key}: ran {runs[key]} times, stated at most {most}"
+            for key, most in stated.most_runs.items()
+            if runs[key] > most
+        ]
+        if answered < stated.answered:
+            differences.append(f"{answered} answers, stated at least {stated.answered}")
+        duration_s = scene.clock.monotonic_s() - started_s
+        staleness = tuple(scene.oracle.staleness_versions())
+        await scene.stop()
+        return Replay(
+            name=self._trace.header.name,
+            violations=violations,
+            differences=tuple(differences),
+            whole_steps=dict(self._whole),
+            answered=answered,
+            asked=len(self._answers),
+            waited_s=tuple(self._waited_s),
+            idle_s=self._idle_s,
+            trained_s=self._trained_s,
+            staleness_versions=staleness,
+            duration_s=duration_s,
+        )
+
+    @property
+    def _daemons(self) -> int:
+        return self._trace.header.daemons
+
+
+def _end_s(event: Event) -> float:
+    return event.at_s + (event.duration_s if isinstance(event, Fault) else 0.0)
+
+
+def _submission_of(event: Step) -> StepSubmission:
+    return StepSubmission(
+        step=event.step,
+        groups=tuple(
+            PromptGroup(prompt=f"{event.digest} {group}", size=size)
+            for group, size in enumerate(event.groups)
+        ),
+        sampling=Sampling(max_tokens=event.max_tokens, seed=event.seed),
+    )
+
+
+def _closed_step(event: Train, step: int) -> StepSubmission:
+    return StepSubmission(
+        step=step,
+        groups=tuple(
+            PromptGroup(prompt=f"{event.trainer} step {step} job {group}", size=event.size)
+            for group in range(event.groups)
+        ),
+        sampling=Sampling(max_tokens=event.max_tokens, seed=step),
+    )
--- /dev/null
+++ b/tests/traces/test_recorder.py
@@ -0,0 +1,66 @@
+"""Tests of recording live work and reading it back."""
+
+from pathlib import Path
+
+import pytest
+
+from fuzz.scenes import scene, step_of
+from verbenawind.errors import InvalidRequest
+from verbenawind.kernel.messages import GenerateRequest, WorkKind
+from verbenawind.standins.world import run_virtual
+from verbenawind.traces import LiveRecording, read_trace
+from verbenawind.traces.replay import replay
+from verbenawind.traces.types import Ask, Step
+
+
+class TestRecorder:
+    def test_recorded_work_replays(self, tmp_path: Path) -> None:
+        """A step and a request that a daemon served are recorded without text and replay whole."""
+        path = tmp_path / "live.jsonl"
+
+        async def serve() -> None:
+            made = scene(1)
+            await made.start()
+            core = made.world.daemons["daemon-0"]
+            recording = LiveRecording(
+                str(path),
+                made.clock,
+                fleet=core.fleet,
+                peers=core.peers,
+                configuration=core.configuration,
+                generator=core.dispatcher,
+                services=core.dispatcher,
+                rollouts=core.rollouts,
+            )
+            recording.begin()
+            recorder, spec = recording.recorder, made.trainers["folders"].spec
+            await recorder.submit_step(made.revision, spec, step_of("folders", 1))
+            request = GenerateRequest(
+                request_id="r",
+                environment=made.revision.name,
+                caller="desk",
+                kind=WorkKind.APPLICATION,
+                model="tuner",
+                pool="tuning",
+                prompt="a secret die",
+                max_tokens=20,
+                seed=1,
+                deadline_s=made.clock.monotonic_s() + 20.0,
+            )
+            assert [event async for event in recorder.generate(request)]
+            recording.close()
+            await made.stop()
+
+        run_virtual(serve())
+        trace = read_trace(path)
+        assert [type(event) for event in trace.events[-2:]] == [Step, Ask]
+        assert b"secret" not in path.read_bytes()
+        shown = replay(trace)
+        assert (shown.whole_steps, shown.answered, shown.violations) == ({"folders": 1}, 1, ())
+
+    def test_malformed_line_is_named(self, tmp_path: Path) -> None:
+        """A line that is no event is refused with its number."""
+        path = tmp_path / "bad.jsonl"
+        path.write_text('{"event": "nothing"}\n')
+        with pytest.raises(InvalidRequest, match=r"bad\.jsonl, line 1"):
+            read_trace(path)
