Plan orders for new weights: shards, staging budget, turns, repair

Cause: the thin controller ordered every engine that was behind at once, with one lease a zone. Change: pure decisions about the next order (stage, wait for the activation time, activate in turn, repair), one lease for each of 16 shards of a zone, a token bucket for staging, back-off and setting aside of engines that fail.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -69,9 +69,12 @@
             fleet=self.fleet,
             clients=outside.clients,
             table=self.table,
+            store=outside.weights,
             leases=self.leases,
+            peers=self.peers,
             configuration=self.configuration,
             clock=clock,
+            rng=rng,
         )
         self.ready = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -91,12 +94,14 @@
         self.ready = False
         await self.rollouts.stop()
         await self._cancel_tasks()
+        await self.weights.stop()
         await self.leases.stop()
 
     async def kill(self) -> None:
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        self.weights.abandon()
         await self.rollouts.stop()
         await self._cancel_tasks()
 
--- a/src/verbenawind/document/__init__.py
+++ b/src/verbenawind/document/__init__.py
@@ -17,6 +17,7 @@
     StalenessSpec,
     SwapPolicy,
     TrainerSpec,
+    WeightsSpec,
 )
 
 __all__ = [
@@ -35,6 +36,7 @@
     "StalenessSpec",
     "SwapPolicy",
     "TrainerSpec",
+    "WeightsSpec",
     "canonical_bytes",
     "document_digest",
     "parse_document",
--- a/src/verbenawind/document/types.py
+++ b/src/verbenawind/document/types.py
@@ -23,6 +23,7 @@
     "StalenessSpec",
     "SwapPolicy",
     "TrainerSpec",
+    "WeightsSpec",
 ]
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
@@ -154,6 +155,18 @@
     waiting_price_per_s: Annotated[float, Meta(ge=0.0)] = 0.001
 
 
+class WeightsSpec(_Spec, frozen=True, kw_only=True):
+    """How new weights reach the engines.
+
+    ``staging_bytes_per_s`` is an availability zone's share of the weight store's rate. Staged
+    weights are activated ``activation_delay_s`` after their publication at the earliest, so that
+    engines which take long to stage change at the same time as the others.
+    """
+
+    staging_bytes_per_s: Positive = 1e9
+    activation_delay_s: Annotated[float, Meta(ge=0.0)] = 0.0
+
+
 class EnvironmentDocument(_Spec, frozen=True, kw_only=True):
     """Everything that operators say of one environment."""
 
@@ -165,6 +178,7 @@
     scoring_services: tuple[ScoringServiceSpec, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     cross_region: CrossRegionSpec = CrossRegionSpec()
+    weights: WeightsSpec = WeightsSpec()
     trainer_idle_weight: Annotated[float, Meta(ge=0.0)] = 1.0
     staleness_weight: Annotated[float, Meta(ge=0.0)] = 1.0
 
--- a/src/verbenawind/rollout/records.py
+++ b/src/verbenawind/rollout/records.py
@@ -6,6 +6,7 @@
 from verbenawind.kernel.rollouts import DeliveredGrade, DeliveredGroup
 
 __all__ = [
+    "VERSION_ITEM",
     "LogEntry",
     "LogHead",
     "LogPayload",
@@ -17,8 +18,12 @@
     "step_key",
     "step_prefix",
     "version_key",
+    "version_prefix",
 ]
 
+VERSION_ITEM = "version"
+"""Kind of the spread items that announce published versions; the body is a VersionRecord."""
+
 
 class StepRecord(Value, frozen=True, kw_only=True):
     """An accepted step; its submission is the object ``object_key``."""
@@ -50,11 +55,12 @@
 
 
 class VersionRecord(Value, frozen=True, kw_only=True):
-    """The newest published version of a model."""
+    """The newest published version of a model; ``published_at_s`` is a Unix time in seconds."""
 
     model: str
     version: int
     weights_uri: str
+    published_at_s: float = 0.0
 
 
 def step_prefix(environment: str, trainer: str) -> str:
@@ -82,9 +88,14 @@
     return f"{log_prefix(environment, trainer)}{sequence:012}"
 
 
+def version_prefix(environment: str) -> str:
+    """Return the prefix of an environment's newest-version rows."""
+    return f"version/{environment}/"
+
+
 def version_key(environment: str, model: str) -> str:
     """Return the key of a model's newest-version row."""
-    return f"version/{environment}/{model}"
+    return f"{version_prefix(environment)}{model}"
 
 
 def decode_log_head(value: bytes) -> LogHead:
--- a/src/verbenawind/rollout/service.py
+++ b/src/verbenawind/rollout/service.py
@@ -143,7 +143,10 @@
         """Record a new weight version durably; an older one changes nothing."""
         key = version_key(revision.name, model.name)
         record = VersionRecord(
-            model=model.name, version=version.version, weights_uri=version.weights_uri
+            model=model.name,
+            version=version.version,
+            weights_uri=version.weights_uri,
+            published_at_s=self._clock.now().timestamp(),
         )
         for _ in range(_VERSION_ATTEMPTS):
             row = (await self._table.read([key])).get(key)
--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -186,6 +186,8 @@
         self._prefixes: OrderedDict[int, None] = OrderedDict()
         self._events: list[tuple[float, int, bool]] = []
         self._ticker: asyncio.Task[None] | None = None
+        self._order_lock = asyncio.Lock()
+        self._draining: set[str] = set()
 
     # The EngineClient port.
 
@@ -256,6 +258,10 @@
             )
         self.fencing_number = max(self.fencing_number, order.fencing_number)
         self.orders.append(order)
+        async with self._order_lock:
+            return await self._carry_out(order)
+
+    async def _carry_out(self, order: EngineOrder) -> EngineStatus:
         incarnation = self.incarnation
         weights = self._weights.setdefault(order.model, _Weights(order.version))
         if order.kind is OrderKind.STAGE:
@@ -348,6 +354,8 @@
             await self._clock.sleep(self._stage_s)
             self._check_same(incarnation)
             weights.staged.add(order.version)
+        if order.drain_first:
+            await self._drain(order.model, incarnation)
         weights.state = SwapState.SWAPPING
         weights.previous, weights.active = weights.active, None
         await self._clock.sleep(self._swap_s)
@@ -361,6 +369,15 @@
         weights.staged.discard(order.version)
         weights.state = SwapState.IDLE
 
+    async def _drain(self, model: str, incarnation: int) -> None:
+        self._draining.add(model)
+        try:
+            while any(running.attempt.model == model for running in self._running.values()):
+                await self._clock.sleep(self.profile.tick_s)
+                self._check_same(incarnation)
+        finally:
+            self._draining.discard(model)
+
     def _reported_version(self, weights: _Weights) -> int | None:
         age_s = self._clock.monotonic_s() - weights.changed_at_s
         if weights.active is not None and age_s < self.faults.version_report_lag_s:
@@ -382,6 +399,8 @@
 
     def _admit(self) -> None:
         while self._waiting and len(self._running) < self.profile.max_running:
+            if self._waiting[0].attempt.model in self._draining:
+                break
             running = self._waiting.popleft()
             running.ready_at_s = self._clock.monotonic_s() + self._prefill_s(running.attempt)
             self._running[running.attempt.attempt_id] = running
--- /dev/null
+++ b/src/verbenawind/weights/plan.py
@@ -0,0 +1,130 @@
+"""Decides the next order for an engine: values in, order kind and reason out."""
+
+from collections.abc import Sequence
+
+from verbenawind.document import EnvironmentDocument, PoolSpec
+from verbenawind.document.types import CallerKind
+from verbenawind.kernel.messages import OrderKind, SwapState, Value
+
+__all__ = [
+    "EngineState",
+    "OrderDecision",
+    "Target",
+    "engines_in_turn",
+    "next_order",
+    "swap_limit",
+]
+
+_APPLICATION_SWAP_FRACTION = 0.5
+_TURN_TIMEOUTS = 3
+
+
+class Target(Value, frozen=True, kw_only=True):
+    """The version that a model's engines are being brought to.
+
+    ``activate_at_s`` is a Unix time in seconds before which staged weights wait.
+    """
+
+    environment: str
+    model: str
+    pool: str
+    version: int
+    weights_uri: str
+    size_bytes: int
+    activate_at_s: float
+    drain_first: bool
+    order_timeout_s: float
+
+
+class EngineState(Value, frozen=True, kw_only=True):
+    """One engine with respect to one model.
+
+    ``behind_since_s`` and ``retry_at_s`` are monotonic times in seconds.
+    """
+
+    server_id: str
+    active_version: int | None
+    staged_versions: tuple[int, ...]
+    swap_state: SwapState
+    usable: bool
+    behind_since_s: float
+    retry_at_s: float = 0.0
+    set_aside: bool = False
+
+    def is_behind(self, version: int) -> bool:
+        """Return whether the engine does not surely run *version* or a newer one."""
+        return self.active_version is None or self.active_version < version
+
+
+class OrderDecision(Value, frozen=True, kw_only=True):
+    """The next order's kind, None for no order now, and the reason for the log."""
+
+    kind: OrderKind | None
+    reason: str
+
+
+def next_order(
+    target: Target, engine: EngineState, *, in_turn: bool, now_s: float, now_unix_s: float
+) -> OrderDecision:
+    """Return what to order of *engine* to bring it to *target*."""
+    if not engine.is_behind(target.version):
+        return _nothing("up to date")
+    if not engine.usable:
+        return _nothing("leaving or not reporting")
+    if now_s < engine.retry_at_s:
+        return _nothing("waiting to retry a failed order")
+    failed = engine.swap_state is SwapState.FAILED
+    if target.version not in engine.staged_versions and not failed:
+        return OrderDecision(kind=OrderKind.STAGE, reason="version not staged")
+    if now_unix_s < target.activate_at_s:
+        return _nothing("staged, waiting for the activation time")
+    if failed or engine.active_version is None:
+        return OrderDecision(kind=OrderKind.ACTIVATE, reason="repair of an indefinite version")
+    if not in_turn:
+        return _nothing("staged, waiting for its turn in the pool")
+    return OrderDecision(kind=OrderKind.ACTIVATE, reason="staged and in turn")
+
+
+def engines_in_turn(
+    target: Target, pool_engines: Sequence[EngineState], limit: int, now_s: float
+) -> frozenset[str]:
+    """Return the engines that may swap now: the first *limit* that are still behind.
+
+    All holders rank by name, so they agree without messages. An engine that stays behind for
+    several order timeouts no longer holds up those ranked after it.
+    """
+    patience_s = _TURN_TIMEOUTS * target.order_timeout_s
+    turn: list[str] = []
+    counted = 0
+    for engine in sorted(pool_engines, key=lambda engine: engine.server_id):
+        if not engine.is_behind(target.version) or not engine.usable or engine.set_aside:
+            continue
+        if counted >= limit:
+            break
+        turn.append(engine.server_id)
+        if now_s - engine.behind_since_s < patience_s:
+            counted += 1
+    return frozenset(turn)
+
+
+def swap_limit(document: EnvironmentDocument, pool: PoolSpec, engines: int) -> int:
+    """Return how many of a pool's *engines* may swap at once.
+
+    A pool that serves applications never swaps more than half of its engines at once.
+    """
+    fraction = pool.max_swapping
+    if _serves_applications(document, pool):
+        fraction = min(fraction, _APPLICATION_SWAP_FRACTION)
+    return max(1, int(fraction * engines))
+
+
+def _serves_applications(document: EnvironmentDocument, pool: PoolSpec) -> bool:
+    models = {model.name for model in document.models if model.pool == pool.name}
+    return any(
+        caller.kind is CallerKind.APPLICATION and models.intersection(caller.models)
+        for caller in document.callers
+    )
+
+
+def _nothing(reason: str) -> OrderDecision:
+    return OrderDecision(kind=None, reason=reason)
--- /dev/null
+++ b/src/verbenawind/weights/shard_holder.py
@@ -0,0 +1,262 @@
+"""Gives orders to the engines of one shard while the shard's lease is held."""
+
+import asyncio
+import functools
+from collections.abc import Sequence
+from random import Random
+
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import FencingRefused, LeaseLost, VerbenawindError
+from verbenawind.ids import new_id
+from verbenawind.kernel import Fleet, ServerView
+from verbenawind.kernel.messages import BackendKind, EngineOrder, OrderKind, SwapState
+from verbenawind.kernel.ports import BackendClients, Lease
+from verbenawind.weights.budget import StagingBudget
+from verbenawind.weights.failures import OrderFailures
+from verbenawind.weights.plan import EngineState, Target, engines_in_turn, next_order
+from verbenawind.weights.shards import shard_of
+
+__all__ = ["ShardHolder"]
+
+
+class ShardHolder:
+    """One shard's orders under one lease.
+
+    Args:
+        shard: The shard's number.
+        lease: The held lease; its fencing number goes with each order.
+        fleet: The view of the engines.
+        clients: Clients of the engines.
+        budget: Bounds staging.
+        clock: Time source.
+        rng: Jitter.
+        settle_s: How long orders of an earlier holder may still be running, in seconds.
+    """
+
+    __slots__ = (
+        "_behind_since_s",
+        "_clients",
+        "_clock",
+        "_failures",
+        "_fleet",
+        "_last_ordered_s",
+        "_log",
+        "_orders",
+        "_settled_at_s",
+        "_verified",
+        "budget",
+        "lease",
+        "shard",
+    )
+
+    def __init__(
+        self,
+        shard: int,
+        lease: Lease,
+        *,
+        fleet: Fleet,
+        clients: BackendClients,
+        budget: StagingBudget,
+        clock: Clock,
+        rng: Random,
+        settle_s: float,
+    ) -> None:
+        self.shard = shard
+        self.lease = lease
+        self._fleet = fleet
+        self._clients = clients
+        self.budget = budget
+        self._clock = clock
+        self._failures = OrderFailures(clock, rng)
+        self._settled_at_s = clock.monotonic_s() + settle_s
+        self._verified: set[tuple[str, int]] = set()
+        self._orders: dict[str, asyncio.Task[None]] = {}
+        self._last_ordered_s: dict[tuple[str, str], float] = {}
+        self._behind_since_s: dict[tuple[str, str, int], float] = {}
+        self._log = structlog.get_logger("weights")
+
+    @property
+    def idle(self) -> bool:
+        """Whether no order is in flight."""
+        return not self._orders
+
+    def start_orders(
+        self, targets: Sequence[Target], limits: dict[str, int], checks_fencing: dict[str, bool]
+    ) -> None:
+        """Start every order that is due; each engine has one at a time.
+
+        Args:
+            targets: What the models' engines should be brought to.
+            limits: How many engines of each pool may swap at once.
+            checks_fencing: Whether each pool's engines refuse old fencing numbers.
+        """
+        self._forget_gone()
+        for target in self._fairly(targets):
+            pool = [self._state(view, target) for view in self._pool_views(target)]
+            now_s = self._clock.monotonic_s()
+            turn = engines_in_turn(target, pool, limits[target.pool], now_s)
+            for state in pool:
+                if shard_of(state.server_id) == self.shard and state.server_id not in self._orders:
+                    self._consider(target, state, state.server_id in turn, checks_fencing)
+
+    async def stop(self) -> None:
+        """Wait for the orders in flight."""
+        await asyncio.gather(*self._orders.values(), return_exceptions=True)
+
+    def cancel(self) -> None:
+        """Abandon the orders in flight, as a dying process would."""
+        for task in self._orders.values():
+            task.cancel()
+
+    def _consider(
+        self, target: Target, state: EngineState, in_turn: bool, checks_fencing: dict[str, bool]
+    ) -> None:
+        view = self._fleet.view(state.server_id)
+        if view is None or view.server.location.zone != self._fleet.location.zone:
+            return
+        now_s = self._clock.monotonic_s()
+        if not checks_fencing[target.pool] and now_s < self._settled_at_s:
+            return
+        decision = next_order(
+            target,
+            state,
+            in_turn=in_turn,
+            now_s=now_s,
+            now_unix_s=self._clock.now().timestamp(),
+        )
+        if decision.kind is None:
+            return
+        if decision.kind is OrderKind.STAGE and not self.budget.take(target.size_bytes):
+            return
+        self._last_ordered_s[(state.server_id, target.model)] = now_s
+        task = asyncio.get_running_loop().create_task(
+            self._run(view, target, decision.kind, decision.reason)
+        )
+        self._orders[state.server_id] = task
+        task.add_done_callback(functools.partial(self._finished, state.server_id))
+
+    async def _run(self, view: ServerView, target: Target, kind: OrderKind, reason: str) -> None:
+        server = view.server
+        key = (server.server_id, server.incarnation)
+        try:
+            if key not in self._verified:
+                await self._read_back(view)
+                self._verified.add(key)
+                return
+            await self._order(view, target, kind, reason)
+            self._failures.succeeded(*key, target.model)
+        except LeaseLost as error:
+            self._log.info("order_withheld", server_id=server.server_id, reason=error.message)
+        except (VerbenawindError, TimeoutError) as error:
+            set_aside = self._failures.failed(*key, target.model)
+            self._log.warning(
+                "order_failed",
+                server_id=server.server_id,
+                model=target.model,
+                version=target.version,
+                kind=kind,
+                error=str(error) or type(error).__name__,
+                set_aside=set_aside,
+            )
+            if isinstance(error, FencingRefused):
+                return
+            await self._read_back_quietly(view)
+
+    async def _order(self, view: ServerView, target: Target, kind: OrderKind, reason: str) -> None:
+        order = EngineOrder(
+            order_id=new_id("order"),
+            kind=kind,
+            model=target.model,
+            version=target.version,
+            fencing_number=self.lease.fencing_number,
+            weights_uri=target.weights_uri,
+            timeout_s=target.order_timeout_s,
+            drain_first=target.drain_first,
+        )
+        self._log.info(
+            "engine_ordered",
+            server_id=view.server.server_id,
+            model=target.model,
+            version=target.version,
+            kind=kind,
+            fencing_number=order.fencing_number,
+            reason=reason,
+        )
+        client = self._clients.engine(view.server)
+        self.lease.check(needed_s=order.timeout_s)
+        async with asyncio.timeout(order.timeout_s):
+            status = await client.order(order)
+        self._fleet.observe(status)
+
+    async def _read_back(self, view: ServerView) -> None:
+        self._fleet.observe(await self._clients.engine(view.server).status())
+
+    async def _read_back_quietly(self, view: ServerView) -> None:
+        try:
+            await self._read_back(view)
+        except VerbenawindError as error:
+            self._log.info("engine_unreadable", error=error.message)
+
+    def _pool_views(self, target: Target) -> Sequence[ServerView]:
+        return [
+            view
+            for view in self._fleet.group(BackendKind.ENGINE, target.pool)
+            if view.status is not None
+        ]
+
+    def _state(self, view: ServerView, target: Target) -> EngineState:
+        server = view.server
+        status = view.status.model(target.model) if view.status else None
+        now_s = self._clock.monotonic_s()
+        key = (server.server_id, target.model, target.version)
+        return EngineState(
+            server_id=server.server_id,
+            active_version=status.active_version if status else None,
+            staged_versions=status.staged_versions if status else (),
+            swap_state=status.swap_state if status else SwapState.IDLE,
+            usable=view.usable(now_s),
+            behind_since_s=self._behind_since_s.setdefault(key, now_s),
+            retry_at_s=self._failures.retry_at_s(
+                server.server_id, server.incarnation, target.model
+            ),
+            set_aside=self._failures.is_set_aside(
+                server.server_id, server.incarnation, target.model
+            ),
+        )
+
+    def _fairly(self, targets: Sequence[Target]) -> Sequence[Target]:
+        """Return the models whose last order is the oldest first, so that none starves."""
+
+        def last_ordered_s(target: Target) -> float:
+            return max(
+                (
+                    at_s
+                    for (_, model), at_s in self._last_ordered_s.items()
+                    if model == target.model
+                ),
+                default=float("-inf"),
+            )
+
+        return sorted(targets, key=last_ordered_s)
+
+    def _forget_gone(self) -> None:
+        known = {(view.server.server_id, view.server.incarnation) for view in self._fleet.all()}
+        names = {server_id for server_id, _ in known}
+        self._verified &= known
+        self._failures.keep_only(known)
+        self._last_ordered_s = {
+            key: at_s for key, at_s in self._last_ordered_s.items() if key[0] in names
+        }
+        newest: dict[tuple[str, str], int] = {}
+        for server_id, model, version in self._behind_since_s:
+            newest[(server_id, model)] = max(newest.get((server_id, model), -1), version)
+        self._behind_since_s = {
+            key: at_s
+            for key, at_s in self._behind_since_s.items()
+            if key[0] in names and newest[(key[0], key[1])] == key[2]
+        }
+
+    def _finished(self, server_id: str, _: asyncio.Task[None]) -> None:
+        self._orders.pop(server_id, None)
--- /dev/null
+++ b/src/verbenawind/weights/shards.py
@@ -0,0 +1,33 @@
+"""Divides the engines of an availability zone into shards, each with a lease of its own.
+
+An engine's shard depends on its name alone. So all orders to one engine carry fencing numbers
+of one lease, which rise with every holder.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+__all__ = ["SHARD_COUNT", "lease_name", "preferred_daemons", "shard_of"]
+
+SHARD_COUNT = 16
+"""Shards of an availability zone; 870 engines make some 54 a shard."""
+
+
+def shard_of(server_id: str) -> int:
+    """Return the shard of the engine called *server_id*, from 0 to ``SHARD_COUNT - 1``."""
+    return xxhash.xxh64_intdigest(server_id.encode()) % SHARD_COUNT
+
+
+def lease_name(zone: str, shard: int) -> str:
+    """Return the name of the lease that guards a shard's orders."""
+    return f"weights/{zone}/{shard:02}"
+
+
+def preferred_daemons(name: str, daemon_ids: Iterable[str], count: int) -> Sequence[str]:
+    """Return the *count* daemons that should try for a lease, the first choice first."""
+
+    def rank(daemon_id: str) -> int:
+        return xxhash.xxh64_intdigest(f"{name}|{daemon_id}".encode())
+
+    return sorted(daemon_ids, key=rank, reverse=True)[:count]
--- /dev/null
+++ b/tests/weights/test_controller.py
@@ -0,0 +1,227 @@
+"""Tests of bringing engines to new weights, under failures, on virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from verbenawind.daemon import Core
+from verbenawind.document import EnvironmentRevision, parse_document
+from verbenawind.kernel.messages import OrderKind
+from verbenawind.kernel.rollouts import PublishedVersion
+from verbenawind.standins.engine import StandinEngine
+from verbenawind.standins.world import World, run_virtual
+
+DOCUMENT = """
+{
+  "environment": "siam-fold",
+  "pools": [{"name": "tuning", "checks_fencing": %(checks)s, "order_timeout_s": 3}],
+  "models": [
+    {"name": "tuner", "pool": "tuning"},
+    {"name": "gluer", "pool": "tuning"}
+  ],
+  "callers": [%(callers)s]
+}
+"""
+APPLICATION = """{"name": "shop", "kind": "application", "models": ["tuner"],
+    "token_sha256": "0000000000000000000000000000000000000000000000000000000000000000"}"""
+
+
+class Scene:
+    """A world with engines in one zone, one or two daemons there, and a document in force."""
+
+    def __init__(self, world: World, revision: EnvironmentRevision) -> None:
+        self.world = world
+        self.revision = revision
+
+    async def publish(self, version: int, model: str = "tuner") -> None:
+        manifest = self.world.weights.put(model, version)
+        core = next(iter(self.world.daemons.values()))
+        spec = self.revision.document.model(model)
+        assert spec is not None
+        await core.rollouts.publish_version(
+            self.revision,
+            spec,
+            PublishedVersion(model=model, version=version, weights_uri=manifest.uri),
+        )
+
+    async def until(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        ends_at_s = self.world.clock.monotonic_s() + limit_s
+        while self.world.clock.monotonic_s() < ends_at_s:
+            if condition():
+                return True
+            await asyncio.sleep(0.05)
+        return condition()
+
+    def all_at(self, version: int, model: str = "tuner") -> bool:
+        return all(
+            engine.active_version(model) == version for engine in self.world.engines.values()
+        )
+
+
+def play(
+    scenario: Callable[[Scene], Awaitable[None]],
+    *,
+    engines: int = 3,
+    daemons: int = 1,
+    checks_fencing: bool = True,
+    applications: bool = False,
+) -> None:
+    async def run() -> None:
+        world = World(regions=("bangkok",))
+        for index in range(engines):
+            world.add_engine(
+                f"engine-{index}",
+                "tuning",
+                {"tuner": 0, "gluer": 0},
+                checks_fencing=checks_fencing,
+            )
+        cores: list[Core] = [world.add_daemon(f"daemon-{index}") for index in range(daemons)]
+        for core in cores:
+            await core.start()
+        text = DOCUMENT % {
+            "checks": str(checks_fencing).lower(),
+            "callers": APPLICATION if applications else "",
+        }
+        revision = await world.accept(parse_document(text))
+        await scenario(Scene(world, revision))
+        await world.stop()
+
+    run_virtual(run())
+
+
+class TestWeightsController:
+    def test_every_engine_reaches_a_published_version(self) -> None:
+        """All engines run a new version soon after its publication."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.publish(1)
+            assert await scene.until(lambda: scene.all_at(1), limit_s=15.0)
+
+        play(scenario)
+
+    def test_failed_swaps_are_repaired(self) -> None:
+        """Engines whose swap stopped halfway are brought to the version all the same."""
+
+        async def scenario(scene: Scene) -> None:
+            for engine in list(scene.world.engines.values())[::2]:
+                engine.faults.fail_next_swaps = 2
+            await scene.publish(1)
+            assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
+
+        play(scenario)
+
+    def test_hopeless_engine_is_set_aside_and_others_go_on(self) -> None:
+        """An engine that fails every swap keeps neither others nor newer versions back."""
+
+        async def scenario(scene: Scene) -> None:
+            broken, *others = scene.world.engines.values()
+            broken.faults.fail_next_swaps = 1000
+            await scene.publish(1)
+            await scene.until(lambda: False, limit_s=15.0)
+            await scene.publish(2)
+            assert await scene.until(
+                lambda: all(engine.active_version("tuner") == 2 for engine in others), limit_s=60.0
+            )
+            assert broken.active_version("tuner") is None
+
+        play(scenario, applications=True)
+
+    def test_restarted_engine_is_brought_forward_again(self) -> None:
+        """An engine that restarts with its old weights gets the newest version again."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.publish(1)
+            assert await scene.until(lambda: scene.all_at(1), limit_s=15.0)
+            engine = scene.world.engines["engine-0"]
+            engine.crash()
+            engine.restart()
+            assert engine.active_version("tuner") == 0
+            assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
+
+        play(scenario)
+
+    def test_application_pool_is_never_swapped_all_at_once(self) -> None:
+        """At every moment at least half of an application pool has a definite version."""
+        definite: list[int] = []
+
+        async def scenario(scene: Scene) -> None:
+            def observe() -> bool:
+                versions = [
+                    engine.active_version("tuner") for engine in scene.world.engines.values()
+                ]
+                definite.append(sum(version is not None for version in versions))
+                return scene.all_at(1)
+
+            await scene.publish(1)
+            assert await scene.until(observe, limit_s=30.0)
+
+        play(scenario, engines=4, applications=True)
+        assert min(definite) >= 2
+
+    def test_no_model_starves_while_another_changes_fast(self) -> None:
+        """A model reaches its version while another gets a new one every second."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.publish(1, model="gluer")
+            for version in range(1, 20):
+                await scene.publish(version)
+                await scene.until(lambda: False, limit_s=1.0)
+            assert scene.all_at(1, model="gluer")
+            assert (
+                min(engine.active_version("tuner") or 0 for engine in scene.world.engines.values())
+                >= 10
+            )
+
+        play(scenario)
+
+    def test_new_holder_waits_out_orders_to_engines_that_ignore_fencing(self) -> None:
+        """After a holder dies, its successor gives no order before the longest one has ended."""
+
+        async def scenario(scene: Scene) -> None:
+            first, second = scene.world.daemons.values()
+            await scene.publish(1)
+            assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
+            holder = first if first.weights.held_shards() else second
+            other = second if holder is first else first
+            for core in (first, second):
+                if core is not holder and core.weights.held_shards():
+                    await core.weights.stop()
+            await holder.kill()
+            assert await scene.until(lambda: bool(other.weights.held_shards()), limit_s=60.0)
+            taken_at_s = scene.world.clock.monotonic_s()
+            counts = orders_by_engine(scene)
+            await scene.publish(2)
+            assert await scene.until(lambda: orders_by_engine(scene) != counts, limit_s=60.0)
+            assert scene.world.clock.monotonic_s() - taken_at_s >= 2.5
+            assert await scene.until(lambda: scene.all_at(2), limit_s=60.0)
+
+        play(scenario, daemons=2, checks_fencing=False, engines=1)
+
+    def test_paused_holder_that_wakes_orders_nothing(self) -> None:
+        """A holder that slept through its lease gives no order with its old fencing number."""
+
+        async def scenario(scene: Scene) -> None:
+            await scene.publish(1)
+            assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
+            holders = [
+                name for name, core in scene.world.daemons.items() if core.weights.held_shards()
+            ]
+            for name in holders[:1]:
+                scene.world.processes[name].pause()
+            await scene.until(lambda: False, limit_s=60.0)
+            await scene.publish(2)
+            for name in holders[:1]:
+                scene.world.processes[name].resume()
+            assert await scene.until(lambda: scene.all_at(2), limit_s=60.0)
+            for engine in scene.world.engines.values():
+                numbers = [order.fencing_number for order in engine.orders]
+                assert numbers == sorted(numbers)
+
+        play(scenario, daemons=2, engines=1, checks_fencing=False)
+
+
+def orders_by_engine(scene: Scene) -> dict[str, int]:
+    return {name: activations(engine) for name, engine in scene.world.engines.items()}
+
+
+def activations(engine: StandinEngine) -> int:
+    return sum(order.kind in (OrderKind.STAGE, OrderKind.ACTIVATE) for order in engine.orders)
