--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -2,21 +2,24 @@
 
 import asyncio
 import signal
+from functools import partial
 from random import Random
 
 import structlog
 from absl import app as absl_app
 from absl import flags
 
-from verbenawind.api import ApiServices, build_app
+from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
+from verbenawind.decisions import DecisionRecord, record_decisions_in
 from verbenawind.errors import StoreUnavailable
 from verbenawind.http_server import HttpServer
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import LonePeerBus
+from verbenawind.membership import GossipBus
+from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
 from verbenawind.plugins.platform_http import (
@@ -26,7 +29,7 @@
     HttpWeightStore,
 )
 from verbenawind.rollout import Rollouts
-from verbenawind.routing import Dispatcher
+from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
@@ -35,7 +38,6 @@
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
-_CONFIGURATION_PERIOD_S = 1.0
 
 
 class Core:
@@ -50,20 +52,53 @@
         clock, rng = outside.clock, outside.rng
         self.settings = settings
         self.outside = outside
+        self.metrics = Metrics()
+        self.decisions = DecisionRecord(settings.limits.max_explained_requests)
         self.fleet = Fleet(clock, Location(zone=settings.zone, region=settings.region))
         self.table = TableClient(outside.table, clock, rng)
         self.objects = ObjectClient(outside.objects, clock, rng)
-        self.leases = LeaseManager(self.table, clock, settings.daemon_id)
-        self.peers = LonePeerBus(settings.daemon_id)
-        self.configuration = ConfigurationStore(self.table, clock)
-        self.dispatcher = Dispatcher(self.fleet, outside.clients, clock)
+        self.peers = GossipBus(
+            peer_id=settings.daemon_id,
+            location=self.fleet.location,
+            listen=settings.peer_listen,
+            key=settings.peer_key.encode(),
+            seeds=settings.peer_seeds,
+            transport=outside.transport,
+            clock=clock,
+            rng=rng,
+        )
+        self.leases = LeaseManager(
+            self.table,
+            clock,
+            settings.daemon_id,
+            rng=rng,
+            peers=self.peers,
+            zone=settings.zone,
+            expects_peers=bool(settings.peer_seeds),
+        )
+        self.configuration = ConfigurationStore(self.table, clock, rng=rng, peers=self.peers)
+        self.dispatcher = Dispatcher(
+            fleet=self.fleet,
+            clients=outside.clients,
+            clock=clock,
+            rng=rng,
+            configuration=self.configuration,
+            table=self.table,
+            objects=self.objects,
+            peers=self.peers,
+            policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
+        )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
         self.rollouts = Rollouts(
             table=self.table,
             objects=self.objects,
             leases=self.leases,
             generator=self.dispatcher,
+            peers=self.peers,
+            fleet=self.fleet,
+            clients=outside.clients,
             clock=clock,
+            rng=rng,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
@@ -76,16 +111,26 @@
             clock=clock,
             rng=rng,
         )
-        self.ready = False
+        self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
 
+    @property
+    def ready(self) -> bool:
+        """Whether the daemon takes new work."""
+        return self._ready and self.configuration.informed and not self.peers.superseded
+
+    @ready.setter
+    def ready(self, ready: bool) -> None:
+        self._ready = ready
+
     async def start(self) -> None:
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
+        await self.peers.start()
         await self._refresh_configuration()
         await self.watcher.refresh()
-        for work in (self.watcher.run(), self.weights.run(), self._follow_configuration()):
+        for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
             self._tasks.append(asyncio.get_running_loop().create_task(work))
         self.ready = True
 
@@ -96,13 +141,15 @@
         await self._cancel_tasks()
         await self.weights.stop()
         await self.leases.stop()
+        await self.peers.stop()
 
     async def kill(self) -> None:
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
         self.weights.abandon()
-        await self.rollouts.stop()
+        await self.peers.kill()
+        await self.rollouts.kill()
         await self._cancel_tasks()
 
     async def _cancel_tasks(self) -> None:
@@ -116,11 +163,6 @@
         except StoreUnavailable as error:
             self._log.warning("configuration_unavailable", error=error.message)
 
-    async def _follow_configuration(self) -> None:
-        while True:
-            await self.outside.clock.sleep(_CONFIGURATION_PERIOD_S)
-            await self._refresh_configuration()
-
 
 class Daemon:
     """A core behind its HTTP server.
@@ -138,14 +180,22 @@
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            fleet=self.core.fleet,
+            peers=self.core.peers,
+            decisions=self.core.decisions,
+            metrics=self.core.metrics,
             clock=outside.clock,
+            ready=lambda: self.core.ready,
         )
+        self.core.peers.on_call(EXPLAIN_CALL, partial(answer_explain_call, services))
         host, _, port = settings.listen.rpartition(":")
+        self._guard = build_app(services)
         self._server = HttpServer(
-            build_app(services, lambda: self.core.ready),
+            self._guard,
             host,
             int(port),
             max_connections=settings.limits.max_connections,
+            header_timeout_s=settings.limits.header_timeout_s,
         )
 
     @property
@@ -155,12 +205,15 @@
 
     async def start(self) -> None:
         """Start the core, then serve."""
+        record_decisions_in(self.core.decisions)
         await self.core.start()
         await self._server.start()
 
     async def stop(self) -> None:
         """Become unready, let every request in flight end, then stop."""
         self.core.ready = False
+        await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
+        self._guard.draining = True
         await self._server.stop()
         await self.core.stop()
 
--- a/src/verbenawind/weights/controller.py
+++ b/src/verbenawind/weights/controller.py
@@ -146,7 +146,8 @@
         ):
             return
         longest_s = self._longest_order_s()
-        lease = await self._leases.acquire(name, max(_LEASE_S, _LEASE_ORDER_TIMEOUTS * longest_s))
+        duration_s = max(_LEASE_S, _LEASE_ORDER_TIMEOUTS * longest_s)
+        lease = await self._leases.acquire(name, duration_s, zone_only=True)
         if lease is None:
             return
         self._holders[shard] = ShardHolder(
--- a/src/verbenawind/weights/targets.py
+++ b/src/verbenawind/weights/targets.py
@@ -9,7 +9,8 @@
 from verbenawind.document import EnvironmentRevision, ModelSpec, SwapPolicy
 from verbenawind.errors import StoreUnavailable
 from verbenawind.kernel.ports import Configuration, PeerBus, TableStore, WeightStore
-from verbenawind.rollout.records import VERSION_ITEM, VersionRecord, version_prefix
+from verbenawind.rollout.records import VersionRecord, version_prefix
+from verbenawind.rollout.versions import VERSION_ITEM_KIND
 from verbenawind.weights.plan import Target
 
 __all__ = ["Targets"]
@@ -60,8 +61,8 @@
         self._sizes: dict[tuple[str, int], int] = {}
         self._next_scan_s = 0.0
         self._log = structlog.get_logger("weights")
-        peers.on_item(VERSION_ITEM, lambda item: self._learn_item(item.key, item.body))
-        for item in peers.items(VERSION_ITEM):
+        peers.on_item(VERSION_ITEM_KIND, lambda item: self._learn_item(item.key, item.body))
+        for item in peers.items(VERSION_ITEM_KIND):
             self._learn_item(item.key, item.body)
 
     async def refresh(self) -> None:
