--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -32,9 +32,9 @@
         self.world = world
         self.revision = revision
 
-    async def publish(self, version: int, model: str = "tuner") -> None:
+    async def publish(self, version: int, model: str = "tuner", *, at: Core | None = None) -> None:
         manifest = self.world.weights.put(model, version)
-        core = next(iter(self.world.daemons.values()))
+        core = at or next(iter(self.world.daemons.values()))
         spec = self.revision.document.model(model)
         assert spec is not None
         await core.rollouts.publish_version(
@@ -177,19 +177,17 @@
         """After a holder dies, its successor gives no order before the longest one has ended."""
 
         async def scenario(scene: Scene) -> None:
-            first, second = scene.world.daemons.values()
             await scene.publish(1)
             assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
-            holder = first if first.weights.held_shards() else second
-            other = second if holder is first else first
-            for core in (first, second):
-                if core is not holder and core.weights.held_shards():
-                    await core.weights.stop()
+            (holder,) = [
+                core for core in scene.world.daemons.values() if core.weights.held_shards()
+            ]
+            (other,) = [core for core in scene.world.daemons.values() if core is not holder]
             await holder.kill()
             assert await scene.until(lambda: bool(other.weights.held_shards()), limit_s=60.0)
             taken_at_s = scene.world.clock.monotonic_s()
             counts = orders_by_engine(scene)
-            await scene.publish(2)
+            await scene.publish(2, at=other)
             assert await scene.until(lambda: orders_by_engine(scene) != counts, limit_s=60.0)
             assert scene.world.clock.monotonic_s() - taken_at_s >= 2.5
             assert await scene.until(lambda: scene.all_at(2), limit_s=60.0)
@@ -202,15 +200,14 @@
         async def scenario(scene: Scene) -> None:
             await scene.publish(1)
             assert await scene.until(lambda: scene.all_at(1), limit_s=30.0)
-            holders = [
+            (paused,) = [
                 name for name, core in scene.world.daemons.items() if core.weights.held_shards()
             ]
-            for name in holders[:1]:
-                scene.world.processes[name].pause()
-            await scene.until(lambda: False, limit_s=60.0)
-            await scene.publish(2)
-            for name in holders[:1]:
-                scene.world.processes[name].resume()
+            (other,) = [core for name, core in scene.world.daemons.items() if name != paused]
+            scene.world.processes[paused].pause()
+            assert await scene.until(lambda: bool(other.weights.held_shards()), limit_s=60.0)
+            await scene.publish(2, at=other)
+            scene.world.processes[paused].resume()
             assert await scene.until(lambda: scene.all_at(2), limit_s=60.0)
             for engine in scene.world.engines.values():
                 numbers = [order.fencing_number for order in engine.orders]
