Count trainer idle time, staleness, waits and bytes; test explain across daemons

Change: polls count idle time and delivered staleness (by versions as a label, one addition per distinct value instead of one per sample, as 8,192 histogram additions would hold the loop), routing's own counters are taken in before each exposition.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -108,6 +108,7 @@
             configuration=self.configuration,
             clock=clock,
         )
+        self.metrics.on_render(self._collect)
         self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
@@ -147,6 +148,20 @@
         await self.rollouts.kill()
         await self._cancel_tasks()
 
+    def _collect(self) -> None:
+        """Take in what routing counted since the last exposition."""
+        stats = self.dispatcher.stats
+        for kind, waits_s in stats.waits_s.items():
+            while waits_s:
+                self.metrics.observe_queue_wait(kind, waits_s.popleft())
+        self.metrics.set_cross_region_bytes(stats.cross_region_bytes)
+        for name, value, help_text in (
+            ("engine_choices", stats.choices, "Choices of an engine so far."),
+            ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
+            ("attempt_retries", stats.retries, "Attempts that were retried so far."),
+        ):
+            self.metrics.set_value(name, help_text, value)
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -175,6 +190,7 @@
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
--- a/src/verbenawind/metrics.py
+++ b/src/verbenawind/metrics.py
@@ -1,6 +1,6 @@
 """The daemon's metrics, one typed method for each thing that is measured."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -9,7 +9,6 @@
 
 _WAIT_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 2.0, 10.0, 60.0]
 _AGE_BUCKETS_S = [1.0, 5.0, 15.0, 60.0, 180.0, 600.0]
-_VERSION_BUCKETS = [0.0, 1.0, 2.0, 3.0, 5.0, 8.0]
 
 
 class Metrics:
@@ -19,6 +18,7 @@
     """
 
     __slots__ = (
+        "_collectors",
         "_cross_region_bytes",
         "_queue_wait",
         "_refusals",
@@ -27,62 +27,73 @@
         "_requests",
         "_samples",
         "_staleness_s",
-        "_staleness_versions",
         "_trainer_idle",
         "_values",
     )
 
     def __init__(self) -> None:
         self._registry = Registry()
+        self._collectors: list[Callable[[], None]] = []
         self._values: dict[str, Gauge] = {}
         self._trainer_idle = self._counter(
             "trainer_idle_seconds_total", "Time for which trainers waited in a poll."
         )
-        self._samples = self._counter("samples_delivered_total", "Samples delivered to trainers.")
-        self._staleness_versions = self._histogram(
-            "sample_staleness_versions", "Age of delivered samples in versions.", _VERSION_BUCKETS
+        self._samples = self._counter(
+            "samples_sent_total", "Samples sent to trainers, by how many versions old they were."
         )
         self._staleness_s = self._histogram(
-            "sample_staleness_seconds", "Age of delivered samples in seconds.", _AGE_BUCKETS_S
+            "group_staleness_seconds",
+            "Time since the oldest version in a delivered group was superseded.",
+            _AGE_BUCKETS_S,
         )
         self._queue_wait = self._histogram(
             "queue_wait_seconds", "Wait between arrival and dispatch.", _WAIT_BUCKETS_S
         )
         self._refusals = self._counter("refusals_total", "Requests refused, by error code.")
         self._cross_region_bytes = self._counter(
-            "cross_region_bytes_total", "Bytes exchanged with another region."
+            "cross_region_bytes_total", "Bytes exchanged with backend servers of another region."
         )
         self._requests = self._counter("requests_total", "Requests by operation and outcome.")
         self._request_time = self._histogram(
             "request_seconds", "Time from arrival to the answer's end.", _WAIT_BUCKETS_S
         )
 
+    def on_render(self, collector: Callable[[], None]) -> None:
+        """Call *collector* before each exposition, to take in what a part counts by itself."""
+        self._collectors.append(collector)
+
     def add_trainer_idle(self, environment: str, trainer: str, idle_s: float) -> None:
         """Add time for which a trainer had to wait for samples."""
         self._trainer_idle.add({"environment": environment, "trainer": trainer}, max(0.0, idle_s))
 
-    def observe_sample(
-        self, environment: str, trainer: str, *, staleness_versions: int, age_s: float | None = None
+    def add_samples(
+        self, environment: str, trainer: str, count_by_staleness: Mapping[int, int]
     ) -> None:
-        """Record the staleness of one delivered sample; ``age_s`` where it is known."""
+        """Count delivered samples by their staleness in versions."""
+        for versions, count in count_by_staleness.items():
+            labels = {
+                "environment": environment,
+                "trainer": trainer,
+                "staleness_versions": str(versions),
+            }
+            self._samples.add(labels, count)
+
+    def observe_group_age(self, environment: str, trainer: str, age_s: float) -> None:
+        """Record for how long the oldest version in a delivered group had been superseded."""
         labels = {"environment": environment, "trainer": trainer}
-        self._samples.inc(labels)
-        self._staleness_versions.add(labels, float(staleness_versions))
-        if age_s is not None:
-            self._staleness_s.add(labels, max(0.0, age_s))
+        self._staleness_s.add(labels, max(0.0, age_s))
 
-    def observe_queue_wait(self, environment: str, kind: str, wait_s: float) -> None:
+    def observe_queue_wait(self, kind: str, wait_s: float) -> None:
         """Record how long a request of one kind of work waited for dispatch."""
-        self._queue_wait.add({"environment": environment, "kind": kind}, max(0.0, wait_s))
+        self._queue_wait.add({"kind": kind}, max(0.0, wait_s))
 
     def count_refusal(self, code: str) -> None:
         """Count a request that was refused with an error code."""
         self._refusals.inc({"code": code})
 
-    def add_cross_region_bytes(self, from_region: str, to_region: str, size_bytes: int) -> None:
-        """Count bytes between two regions; nothing is counted within one."""
-        if from_region != to_region:
-            self._cross_region_bytes.add({"from": from_region, "to": to_region}, size_bytes)
+    def set_cross_region_bytes(self, total_bytes: int) -> None:
+        """Set the bytes that were exchanged with backend servers of other regions so far."""
+        self._cross_region_bytes.set({}, total_bytes)
 
     def count_request(self, operation: str, outcome: str, duration_s: float) -> None:
         """Count one finished request; the outcome is ``ok`` or what is known of its failure."""
@@ -99,6 +110,8 @@
 
     def render(self, accepts: Sequence[str]) -> tuple[bytes, str]:
         """Return the exposition for the given Accept headers and its content type."""
+        for collector in self._collectors:
+            collector()
         content, headers = render(self._registry, list(accepts))
         return content, str(headers["Content-Type"])
 
--- /dev/null
+++ b/tests/api/test_explain.py
@@ -0,0 +1,117 @@
+"""Tests of the decision record and of explain, also when another daemon served the request."""
+
+import asyncio
+from collections.abc import Iterator
+from random import Random
+
+import httpx
+import pytest
+import structlog
+
+from loopback import DOCUMENT, OPERATOR_TOKEN, TEST_TIMEOUT_S
+from verbenawind.daemon import Daemon
+from verbenawind.decisions import DecisionRecord, keep_decisions
+from verbenawind.document import Stage
+from verbenawind.ids import digest_hex
+from verbenawind.kernel.ports import Outside
+from verbenawind.logs import configure_logs
+from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
+from verbenawind.settings import DaemonSettings
+from verbenawind.standins.network import Process
+from verbenawind.standins.world import World
+
+POLLS = 500
+
+
+@pytest.fixture(autouse=True)
+def _logs() -> Iterator[None]:
+    configure_logs("error")
+    yield
+    structlog.reset_defaults()
+    structlog.contextvars.clear_contextvars()
+
+
+class TestDecisionRecord:
+    def test_oldest_request_is_dropped_first(self) -> None:
+        """The record is bounded in requests and in lines of each."""
+        record = DecisionRecord(2)
+        for request_id in ("a", "b", "c"):
+            for number in range(100):
+                record.add(request_id, {"event": "chosen", "number": number})
+        assert record.lines("a") == []
+        assert [line["number"] for line in record.lines("c")] == list(range(64))
+
+    def test_lines_without_a_request_pass(self) -> None:
+        """A line that names no request is only passed on."""
+        assert keep_decisions(None, "info", {"event": "x"}) == {"event": "x"}
+
+
+class TestExplain:
+    def test_decisions_of_another_daemon_are_found(self) -> None:
+        """Asked at one daemon, explain shows what the other one decided, at any log level."""
+
+        async def scenario() -> None:
+            world = World()
+            world.add_engine("engine-0", "tuning", {"tuner": 0})
+            first = await started(world, "daemon-a", ())
+            second = await started(world, "daemon-b", (first.core.peers.address,))
+            await second.core.configuration.accept(DOCUMENT, Stage.PRODUCTION)
+            for _ in range(POLLS):
+                if first.core.peers.peers():
+                    break
+                await asyncio.sleep(0.01)
+            body = {"model": "tuner", "prompt": "a", "max_tokens": 2}
+            headers = {"x-request-id": "shift-7", "authorization": "Bearer application-token"}
+            async with httpx.AsyncClient(trust_env=False) as client:
+                url = f"http://{second.address}/environments/siam-fold/production/v1/completions"
+                assert (await client.post(url, json=body, headers=headers)).status_code == 200
+                operator = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+                base = f"http://{first.address}/operators/v1/requests"
+                answer = await client.get(f"{base}/shift-7/explain", headers=operator)
+                missing = await client.get(f"{base}/nothing/explain", headers=operator)
+            lines = answer.json()["daemons"]["daemon-b"]
+            assert "daemon-a" not in answer.json()["daemons"]
+            chosen = [line for line in lines if line.get("server_id") == "engine-0"]
+            assert chosen
+            assert any("reason" in line for line in chosen)
+            assert missing.status_code == 404
+            for daemon in (second, first):
+                await daemon.kill()
+            await world.engines["engine-0"].stop()
+
+        async def bounded() -> None:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await scenario()
+
+        asyncio.run(bounded())
+
+
+async def started(world: World, daemon_id: str, seeds: tuple[str, ...]) -> Daemon:
+    """Start a daemon whose peer links are real websockets."""
+    outside = world.outside(Process(world.network, world.locations[0].zone))
+    settings = DaemonSettings(
+        daemon_id=daemon_id,
+        zone=world.locations[0].zone,
+        region=world.locations[0].region,
+        listen="127.0.0.1:0",
+        peer_listen="127.0.0.1:0",
+        peer_key="the-shared-peer-key",
+        platform_url="http://127.0.0.1:1",
+        operator_token_sha256=digest_hex(OPERATOR_TOKEN.encode()),
+        peer_seeds=seeds,
+    )
+    daemon = Daemon(
+        settings,
+        Outside(
+            clock=outside.clock,
+            rng=Random(daemon_id),
+            table=outside.table,
+            objects=outside.objects,
+            hosts=outside.hosts,
+            weights=outside.weights,
+            clients=outside.clients,
+            transport=WebSocketPeerTransport(),
+        ),
+    )
+    await daemon.start()
+    return daemon
