--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -86,6 +86,7 @@
             table=self.table,
             objects=self.objects,
             peers=self.peers,
+            metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
         self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
@@ -184,6 +185,8 @@
 
     def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
         self.core = Core(settings, outside)
+        if isinstance(outside.clients, PluginBackendClients):
+            self.core.configuration.subscribe(outside.clients.apply)
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
@@ -226,6 +229,7 @@
         await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
         self._guard.draining = True
         await self._server.stop()
+        await self.core.dispatcher.drain()
         await self.core.stop()
 
     async def kill(self) -> None:
@@ -244,11 +248,7 @@
         objects=HttpObjectStore(url),
         hosts=HttpHostList(url),
         weights=HttpWeightStore(url),
-        clients=PluginBackendClients(
-            engine_adapter=lambda _: "openai-http",
-            service_adapter=lambda _: "service-http",
-            scoring_adapter=lambda _: "scoring-http",
-        ),
+        clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
     )
 
