--- a/src/verbenawind/api/guard.py
+++ b/src/verbenawind/api/guard.py
@@ -59,7 +59,7 @@
         scope["state"][REQUEST_ID] = request_id
         answer = _Answer(send, request_id)
         if error is not None:
-            self._services.metrics.count_refusal(error.code)
+            self._services.metrics.count_error_answer(error.code)
             await _refuse(answer, error)
             return
         started_at_s = self._services.clock.monotonic_s()
@@ -124,7 +124,7 @@
         failure = failure_of(scope)
         if failure is not None:
             code, outcome = failure
-            metrics.count_refusal(code)
+            metrics.count_error_answer(code)
             metrics.count_request(operation, outcome, duration_s)
             return
         failed = status is None or status >= _SERVER_ERROR
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -150,12 +150,8 @@
         await self._cancel_tasks()
 
     def _collect(self) -> None:
-        """Take in what routing counted since the last exposition."""
+        """Take in what routing counted by itself."""
         stats = self.dispatcher.stats
-        for kind, waits_s in stats.waits_s.items():
-            while waits_s:
-                self.metrics.observe_queue_wait(kind, waits_s.popleft())
-        self.metrics.set_cross_region_bytes(stats.cross_region_bytes)
         for name, value, help_text in (
             ("engine_choices", stats.choices, "Choices of an engine so far."),
             ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
--- a/src/verbenawind/metrics.py
+++ b/src/verbenawind/metrics.py
@@ -20,6 +20,7 @@
     __slots__ = (
         "_collectors",
         "_cross_region_bytes",
+        "_error_answers",
         "_queue_wait",
         "_refusals",
         "_registry",
@@ -49,7 +50,10 @@
         self._queue_wait = self._histogram(
             "queue_wait_seconds", "Wait between arrival and dispatch.", _WAIT_BUCKETS_S
         )
-        self._refusals = self._counter("refusals_total", "Requests refused, by error code.")
+        self._refusals = self._counter(
+            "refusals_total", "Generations refused or given up by routing, by error code."
+        )
+        self._error_answers = self._counter("error_answers_total", "Error answers, by code.")
         self._cross_region_bytes = self._counter(
             "cross_region_bytes_total", "Bytes exchanged with backend servers of another region."
         )
@@ -83,17 +87,22 @@
         labels = {"environment": environment, "trainer": trainer}
         self._staleness_s.add(labels, max(0.0, age_s))
 
-    def observe_queue_wait(self, kind: str, wait_s: float) -> None:
+    def observe_queue_wait(self, environment: str, kind: str, wait_s: float) -> None:
         """Record how long a request of one kind of work waited for dispatch."""
-        self._queue_wait.add({"kind": kind}, max(0.0, wait_s))
+        self._queue_wait.add({"environment": environment, "kind": kind}, max(0.0, wait_s))
 
     def count_refusal(self, code: str) -> None:
-        """Count a request that was refused with an error code."""
+        """Count a generation that routing refused or gave up, with its error code."""
         self._refusals.inc({"code": code})
 
-    def set_cross_region_bytes(self, total_bytes: int) -> None:
-        """Set the bytes that were exchanged with backend servers of other regions so far."""
-        self._cross_region_bytes.set({}, total_bytes)
+    def count_error_answer(self, code: str) -> None:
+        """Count a request that was answered with an error code."""
+        self._error_answers.inc({"code": code})
+
+    def add_cross_region_bytes(self, from_region: str, to_region: str, size_bytes: int) -> None:
+        """Count bytes between two regions; nothing is counted within one."""
+        if from_region != to_region:
+            self._cross_region_bytes.add({"from": from_region, "to": to_region}, size_bytes)
 
     def count_request(self, operation: str, outcome: str, duration_s: float) -> None:
         """Count one finished request; the outcome is ``ok`` or what is known of its failure."""
--- a/tests/api/test_metrics.py
+++ b/tests/api/test_metrics.py
@@ -37,8 +37,8 @@
         assert f"verbenawind_trainer_idle_seconds_total{{{labels}" in text
         assert f'verbenawind_samples_sent_total{{{labels},staleness_versions="0"' in text
         assert f"verbenawind_group_staleness_seconds_count{{{labels}" in text
-        assert 'verbenawind_queue_wait_seconds_count{kind="application"} 1' in text
-        assert 'verbenawind_refusals_total{code="invalid_request"} 1' in text
+        assert f'verbenawind_queue_wait_seconds_count{{{labels},kind="application"}} 1' in text
+        assert 'verbenawind_error_answers_total{code="invalid_request"} 1' in text
         operation = "/environments/{environment}/{stage}/v1/completions"
         assert f'requests_total{{operation="{operation}",outcome="ok"}} 1' in text
         assert f'requests_total{{operation="{operation}",outcome="not_run"}} 1' in text
