--- a/src/verbenawind/api/headers.py
+++ b/src/verbenawind/api/headers.py
@@ -16,6 +16,7 @@
     "decoded_body",
     "forwarded_headers",
     "idempotency_key",
+    "reconnects",
     "request_id",
     "returned_headers",
 ]
@@ -24,6 +25,7 @@
 
 _DEADLINE_HEADER = "x-deadline-s"
 _IDEMPOTENCY_HEADER = "idempotency-key"
+_RECONNECT_HEADER = "x-reconnect"
 _MAX_KEY_LENGTH = 255
 _HOP_BY_HOP = frozenset(
     {
@@ -46,6 +48,7 @@
     "host",
     _DEADLINE_HEADER,
     _IDEMPOTENCY_HEADER,
+    _RECONNECT_HEADER,
     "x-request-id",
 }
 _NOT_RETURNED = (
@@ -85,6 +88,11 @@
     return str(key)
 
 
+def reconnects(request: Request[Any, Any, Any]) -> bool:
+    """Return whether the caller sent the request before and wants the rest of its answer."""
+    return str(request.headers.get(_RECONNECT_HEADER, "")).lower() == "true"
+
+
 async def decoded_body(request: Request[Any, Any, Any], kind: type[T]) -> T:
     """Return the request's JSON body as a *kind*.
 
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -18,7 +18,7 @@
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import GossipBus
+from verbenawind.membership import FleetWatcher, GossipBus
 from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
@@ -30,7 +30,6 @@
 )
 from verbenawind.rollout import Rollouts
 from verbenawind.routing import Dispatcher, RoutingPolicy
-from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
 from verbenawind.weights import WeightsController
@@ -86,9 +85,17 @@
             table=self.table,
             objects=self.objects,
             peers=self.peers,
+            metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
-        self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
+        self.watcher = FleetWatcher(
+            fleet=self.fleet,
+            hosts=outside.hosts,
+            clients=outside.clients,
+            peers=self.peers,
+            clock=clock,
+            rng=rng,
+        )
         self.rollouts = Rollouts(
             table=self.table,
             objects=self.objects,
@@ -111,6 +118,7 @@
             clock=clock,
             rng=rng,
         )
+        self.metrics.on_render(self._collect)
         self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
@@ -152,6 +160,16 @@
         await self.rollouts.kill()
         await self._cancel_tasks()
 
+    def _collect(self) -> None:
+        """Take in what routing counted by itself."""
+        stats = self.dispatcher.stats
+        for name, value, help_text in (
+            ("engine_choices", stats.choices, "Choices of an engine so far."),
+            ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
+            ("attempt_retries", stats.retries, "Attempts that were retried so far."),
+        ):
+            self.metrics.set_value(name, help_text, value)
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -174,12 +192,15 @@
 
     def __init__(self, settings: DaemonSettings, outside: Outside) -> None:
         self.core = Core(settings, outside)
+        if isinstance(outside.clients, PluginBackendClients):
+            self.core.configuration.subscribe(outside.clients.apply)
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
@@ -215,6 +236,7 @@
         await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
         self._guard.draining = True
         await self._server.stop()
+        await self.core.dispatcher.drain()
         await self.core.stop()
 
     async def kill(self) -> None:
@@ -233,11 +255,7 @@
         objects=HttpObjectStore(url),
         hosts=HttpHostList(url),
         weights=HttpWeightStore(url),
-        clients=PluginBackendClients(
-            engine_adapter=lambda _: "openai-http",
-            service_adapter=lambda _: "service-http",
-            scoring_adapter=lambda _: "scoring-http",
-        ),
+        clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
     )
 
