--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -112,10 +112,14 @@
             fleet=self.fleet,
             clients=outside.clients,
             table=self.table,
+            store=outside.weights,
             leases=self.leases,
+            peers=self.peers,
             configuration=self.configuration,
             clock=clock,
+            rng=rng,
         )
+        self.metrics.on_render(self._collect)
         self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
@@ -144,6 +148,7 @@
         self.ready = False
         await self.rollouts.stop()
         await self._cancel_tasks()
+        await self.weights.stop()
         await self.leases.stop()
         await self.peers.stop()
 
@@ -151,10 +156,21 @@
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        self.weights.abandon()
         await self.peers.kill()
         await self.rollouts.kill()
         await self._cancel_tasks()
 
+    def _collect(self) -> None:
+        """Take in what routing counted by itself."""
+        stats = self.dispatcher.stats
+        for name, value, help_text in (
+            ("engine_choices", stats.choices, "Choices of an engine so far."),
+            ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
+            ("attempt_retries", stats.retries, "Attempts that were retried so far."),
+        ):
+            self.metrics.set_value(name, help_text, value)
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -187,6 +203,7 @@
             generator=recorder or self.core.dispatcher,
             service_caller=recorder or self.core.dispatcher,
             rollouts=recorder or self.core.rollouts,
+            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
--- a/src/verbenawind/standins/scene.py
+++ b/src/verbenawind/standins/scene.py
@@ -504,10 +504,13 @@
 
 
 async def _gated(gate: Callable[[], Awaitable[None]], work: Coroutine[Any, Any, T]) -> T:
-    await gate()
-    result = await work
-    await gate()
-    return result
+    try:
+        await gate()
+        result = await work
+        await gate()
+        return result
+    finally:
+        work.close()
 
 
 async def _drain(events: AsyncGenerator[EngineEvent, None]) -> list[EngineEvent]:
