Run the tests in four processes

Cause: 267 tests took 93 s in one process, and every landing waits for them. Change: pytest-xdist with a fixed number of processes.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@PYTHONPATH=src $(PYTHON) -m verbenawind.standins.demo --faults=$(FAULTS) --seed=$(SEED)
 
 test: | $(VENV)/.installed
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses=4
 
 lint: | $(VENV)/.installed
 	$(VENV)/bin/black --check --quiet src tests bench
