--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -98,7 +98,7 @@
         table: The table service's client.
         objects: The object store's client.
         peers: The other daemons.
-        metrics: Counts refusals, waits and bytes between regions.
+        metrics: Counts waits and bytes between regions.
         policy: Which mechanisms are in force.
     """
 
@@ -234,7 +234,6 @@
 
     def _count_refusal(self, code: str) -> None:
         self.stats.refusals[code] += 1
-        self._metrics.count_refusal(code)
 
     def _document(self, environment: str) -> EnvironmentDocument | None:
         name, _, stage = environment.partition("/")
--- a/src/verbenawind/routing/engine_pool.py
+++ b/src/verbenawind/routing/engine_pool.py
@@ -122,7 +122,7 @@
         self.spec = PoolSpec(name=name)
         self.crossing = CrossRegionSpec()
         self.trial_servers: set[str] = set()
-        self.queue = SlotQueue(f"pool {name!r}", clock, self._choose, policy)
+        self.queue = SlotQueue(f"pool {name!r}", clock, self.choose, policy)
 
     def free_slots(self) -> int:
         """Return how many more rollout generations would start at once."""
@@ -152,7 +152,8 @@
         """Look at the fleet again before the next choice."""
         self._refreshed_at_s = -math.inf
 
-    def _choose(self, ticket: Ticket) -> Choice:
+    def choose(self, ticket: Ticket) -> Choice:
+        """Return an engine for a ticket, and log why."""
         self._refresh()
         need = ticket.payload
         assert isinstance(need, EngineNeed)
