--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -18,7 +18,7 @@
 from verbenawind.kernel.messages import Location
 from verbenawind.kernel.ports import Outside
 from verbenawind.logs import configure_logs
-from verbenawind.membership import GossipBus
+from verbenawind.membership import FleetWatcher, GossipBus
 from verbenawind.metrics import Metrics
 from verbenawind.plugins.backend_clients import PluginBackendClients
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
@@ -30,7 +30,6 @@
 )
 from verbenawind.rollout import Rollouts
 from verbenawind.routing import Dispatcher, RoutingPolicy
-from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
 from verbenawind.weights import WeightsController
@@ -89,7 +88,14 @@
             metrics=self.metrics,
             policy=RoutingPolicy(max_queued=settings.limits.max_queued_requests),
         )
-        self.watcher = FleetWatcher(self.fleet, outside.hosts, outside.clients, clock)
+        self.watcher = FleetWatcher(
+            fleet=self.fleet,
+            hosts=outside.hosts,
+            clients=outside.clients,
+            peers=self.peers,
+            clock=clock,
+            rng=rng,
+        )
         self.rollouts = Rollouts(
             table=self.table,
             objects=self.objects,
@@ -105,10 +111,14 @@
             fleet=self.fleet,
             clients=outside.clients,
             table=self.table,
+            store=outside.weights,
             leases=self.leases,
+            peers=self.peers,
             configuration=self.configuration,
             clock=clock,
+            rng=rng,
         )
+        self.metrics.on_render(self._collect)
         self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
@@ -137,6 +147,7 @@
         self.ready = False
         await self.rollouts.stop()
         await self._cancel_tasks()
+        await self.weights.stop()
         await self.leases.stop()
         await self.peers.stop()
 
@@ -144,10 +155,21 @@
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        self.weights.abandon()
         await self.peers.kill()
         await self.rollouts.kill()
         await self._cancel_tasks()
 
+    def _collect(self) -> None:
+        """Take in what routing counted by itself."""
+        stats = self.dispatcher.stats
+        for name, value, help_text in (
+            ("engine_choices", stats.choices, "Choices of an engine so far."),
+            ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
+            ("attempt_retries", stats.retries, "Attempts that were retried so far."),
+        ):
+            self.metrics.set_value(name, help_text, value)
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -178,6 +200,7 @@
             generator=self.core.dispatcher,
             service_caller=self.core.dispatcher,
             rollouts=self.core.rollouts,
+            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
--- a/src/verbenawind/rollout/records.py
+++ b/src/verbenawind/rollout/records.py
@@ -29,6 +29,7 @@
     "step_prefix",
     "trainer_prefix",
     "version_key",
+    "version_prefix",
     "work_key",
 ]
 
@@ -193,6 +194,11 @@
     weights_uri: str
     history: tuple[VersionTime, ...] = ()
 
+    @property
+    def published_at_s(self) -> float:
+        """When the newest version was published, as a Unix time in seconds."""
+        return self.history[-1].published_at_s if self.history else 0.0
+
 
 def trainer_prefix(environment: str, trainer: str) -> str:
     """Return the prefix of a trainer's rows and objects; *environment* is ``name/stage``."""
@@ -229,9 +235,14 @@
     return f"{trainer_prefix(environment, trainer)}grade/{step:012}/{shard:04}"
 
 
+def version_prefix(environment: str) -> str:
+    """Return the prefix of an environment's newest-version rows."""
+    return f"version/{environment}/"
+
+
 def version_key(environment: str, model: str) -> str:
     """Return the key of a model's newest-version row."""
-    return f"version/{environment}/{model}"
+    return f"{version_prefix(environment)}{model}"
 
 
 def decode_units(data: bytes) -> UnitPayload:
