--- a/bench/routing_rig.py
+++ b/bench/routing_rig.py
@@ -9,7 +9,7 @@
 
 from verbenawind.document import EnvironmentDocument, EnvironmentRevision, parse_document
 from verbenawind.errors import PeerUnreachable, VerbenawindError
-from verbenawind.kernel import Fleet
+from verbenawind.kernel import Fleet, ServerView
 from verbenawind.kernel.messages import (
     EngineEvent,
     GenerateRequest,
@@ -19,7 +19,6 @@
 from verbenawind.kernel.ports import Peer, SpreadItem
 from verbenawind.metrics import Metrics
 from verbenawind.routing import Dispatcher, RoutingPolicy
-from verbenawind.routing.watcher import FleetWatcher
 from verbenawind.standins.engine import EngineProfile
 from verbenawind.standins.network import Process
 from verbenawind.standins.world import World
@@ -28,6 +27,8 @@
 
 _TOKEN = "0" * 64
 _WARM_UP_S = 1.0
+_PROBE_PERIOD_S = 0.25
+_SUSPECT_S = 1.0
 
 
 def quiet_logs() -> None:
@@ -148,7 +149,7 @@
         clock = self.world.clock
         outside = self.world.outside(Process(self.world.network, self.world.locations[0].zone))
         fleet = Fleet(clock, self.world.locations[0])
-        self._watcher = FleetWatcher(fleet, outside.hosts, outside.clients, clock)
+        self._fleet, self._outside = fleet, outside
         self.dispatcher = Dispatcher(
             fleet=fleet,
             clients=outside.clients,
@@ -168,7 +169,7 @@
 
     async def start(self) -> None:
         """Begin to watch the engines."""
-        self._watching = asyncio.get_running_loop().create_task(self._watcher.run())
+        self._watching = asyncio.get_running_loop().create_task(self._watch())
         await asyncio.sleep(_WARM_UP_S)
 
     async def stop(self) -> None:
@@ -235,6 +236,18 @@
         while self._tasks:
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _watch(self) -> None:
+        while True:
+            self._fleet.apply_hosts(await self._outside.hosts.hosts())
+            await asyncio.gather(*map(self._probe, self._fleet.all()))
+            await asyncio.sleep(_PROBE_PERIOD_S)
+
+    async def _probe(self, view: ServerView) -> None:
+        try:
+            self._fleet.observe(await self._outside.clients.engine(view.server).status())
+        except VerbenawindError:
+            self._fleet.suspect(view.server.server_id, _SUSPECT_S)
+
     async def _run(self, request: GenerateRequest, answer: Answer) -> Answer:
         clock = self.world.clock
         try:
