--- a/bench/routing_rig.py
+++ b/bench/routing_rig.py
@@ -11,6 +11,8 @@
 from verbenawind.errors import PeerUnreachable, VerbenawindError
 from verbenawind.kernel import Fleet, ServerView
 from verbenawind.kernel.messages import (
+    BackendKind,
+    BackendServer,
     EngineEvent,
     GenerateRequest,
     GenerationEnded,
@@ -237,8 +239,17 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _watch(self) -> None:
+        for host in await self._outside.hosts.hosts():
+            self._fleet.add(
+                BackendServer(
+                    server_id=host.host_id,
+                    kind=BackendKind.ENGINE,
+                    group=host.group,
+                    address=host.address,
+                    location=host.location,
+                )
+            )
         while True:
-            self._fleet.apply_hosts(await self._outside.hosts.hosts())
             await asyncio.gather(*map(self._probe, self._fleet.all()))
             await asyncio.sleep(_PROBE_PERIOD_S)
 
