--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -113,6 +113,31 @@
             self._do(lambda: self.scene.resume(index))
             self._background(self.scene.stop_daemon(index))
 
+    @rule(graceful=st.booleans())
+    def restart_all(self, graceful: bool) -> None:
+        """Every daemon is replaced at once."""
+
+        async def restart() -> None:
+            for index in range(3):
+                self.scene.resume(index)
+            if graceful:
+                await asyncio.gather(*(self.scene.stop_daemon(index) for index in range(3)))
+            for index in range(3):
+                await self.scene.kill_daemon(index)
+                await asyncio.wait_for(self.scene.start_daemon(index), 60.0)
+
+        self._run(restart())
+
+    @rule(rate=st.sampled_from([0.0, 0.1, 0.5]))
+    def lose_messages(self, rate: float) -> None:
+        """Links between daemons lose a share of their messages."""
+
+        def change() -> None:
+            self.scene.oracle.disturb(self.scene.clock.monotonic_s())
+            self.scene.world.network.loss_rate = rate
+
+        self._do(change)
+
     @rule(zone=DAEMONS, platform=st.booleans(), both_ways=st.booleans())
     def cut(self, zone: int, platform: bool, both_ways: bool) -> None:
         """A zone is cut off from the platform or from the other zones."""
@@ -221,6 +246,19 @@
         """A trainer publishes its next version."""
         self._background(self.scene.publish(index, trainer))
 
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS)
+    def publish_thrice(self, trainer: str, index: int) -> None:
+        """A trainer publishes three versions while finished samples wait for its poll."""
+
+        async def publish() -> None:
+            await self.scene.clock.sleep(6.0)
+            for _ in range(3):
+                await self.scene.publish(index, trainer)
+            await self.scene.poll((index + 1) % 3, trainer)
+
+        self._background(publish())
+        self._advance(8.0)
+
     async def _submit(self, trainer: str, index: int, step: int) -> None:
         if await self.scene.submit(index, trainer, step_of(trainer, step)):
             self._steps[trainer] = max(step, self._steps[trainer])
