Switch Nagle's algorithm off on accepted connections

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol number is TCP's; the listening socket was made with protocol 0, so each small answer waited for the client's delayed acknowledgement. Ruled out: the stand-in engine (its handler returns at once) and the client (the same over GET). Change: the listening socket names its protocol.

--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -115,7 +115,8 @@
         max_connections: int | None = None,
         header_timeout_s: float = 10.0,
     ) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # asyncio switches Nagle's algorithm off only for sockets that name their protocol.
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
         config = uvicorn.Config(
--- /dev/null
+++ b/tests/daemon/test_http_server.py
@@ -0,0 +1,29 @@
+"""Tests of serving HTTP inside a running loop."""
+
+import asyncio
+import socket
+
+from litestar import Litestar
+
+from verbenawind.http_server import HttpServer
+
+
+class TestHttpServer:
+    def test_small_answers_do_not_wait_for_acknowledgements(self) -> None:
+        """Accepted connections have Nagle's algorithm off, which delays each answer by 40 ms."""
+
+        async def scenario() -> int:
+            server = HttpServer(Litestar([], logging_config=None), "127.0.0.1", 0)
+            await server.start()
+            host, _, port = server.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            while not server._server.server_state.connections:
+                await asyncio.sleep(0.01)
+            (connection,) = server._server.server_state.connections
+            accepted = connection.transport.get_extra_info("socket")
+            option: int = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            writer.close()
+            await server.kill()
+            return option
+
+        assert asyncio.run(asyncio.wait_for(scenario(), timeout=10.0)) != 0
