--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -69,6 +69,7 @@
     faults: tuple[str, ...] = ()
     current_revision: int | None = None
     difference: tuple[str, ...] = ()
+    acknowledged_cursor: int | None = None
 
 
 class ErrorAnswer(msgspec.Struct):
@@ -173,6 +174,8 @@
     if isinstance(error, RevisionConflict):
         detail.current_revision = error.current_revision
         detail.difference = tuple(error.difference.splitlines())
+    if isinstance(error, CursorConflict):
+        detail.acknowledged_cursor = error.acknowledged_cursor
     return ErrorAnswer(detail)
 
 
--- a/src/verbenawind/logs.py
+++ b/src/verbenawind/logs.py
@@ -36,6 +36,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(min(threshold, logging.INFO)),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
     )
+    # Libraries log through the standard library, where each HTTP call is a line of level INFO.
+    logging.getLogger().setLevel(logging.WARNING)
     structlog.contextvars.bind_contextvars(**context)
 
 
--- a/src/verbenawind/standins/trainer_calls.py
+++ b/src/verbenawind/standins/trainer_calls.py
@@ -6,6 +6,7 @@
 import httpx
 import msgspec
 
+from verbenawind.api.errors import ErrorAnswer
 from verbenawind.clock import Clock
 from verbenawind.daemon import Core
 from verbenawind.document import EnvironmentRevision
@@ -48,7 +49,7 @@
         await self._post("steps", submission)
 
     async def poll(self, request: PollRequest) -> PollResponse:
-        """Poll; a void cursor starts again from the start of what is not acknowledged."""
+        """Poll; raises CursorConflict when the cursor is void."""
         return msgspec.json.decode(await self._post("poll", request), type=PollResponse)
 
     async def publish(self, version: PublishedVersion) -> None:
@@ -76,11 +77,19 @@
                 continue
             if response.status_code == httpx.codes.OK:
                 return response.content
+            if response.status_code == httpx.codes.CONFLICT:
+                _raise_cursor_conflict(response)
             if response.status_code < httpx.codes.INTERNAL_SERVER_ERROR:
                 raise RuntimeError(f"trainer {path}: {response.status_code} {response.text}")
             await self._clock.sleep(_RETRY_S)
 
 
+def _raise_cursor_conflict(response: httpx.Response) -> None:
+    error = msgspec.json.decode(response.content, type=ErrorAnswer).error
+    if error.code == CursorConflict.code and error.acknowledged_cursor is not None:
+        raise CursorConflict(error.message, acknowledged_cursor=error.acknowledged_cursor)
+
+
 class CoreTrainerCalls:
     """Calls daemon cores in turn; implements TrainerCalls.
 
