Supervise background work and keep library logs out of the way

Cause: a task that raised ended silently, and the HTTP framework's own logging configuration put every library line of level info onto standard error. Change: failed work is logged and restarted after a pause; the framework configures no logging.

--- a/src/verbenawind/api/app.py
+++ b/src/verbenawind/api/app.py
@@ -31,6 +31,7 @@
             *operators.HANDLERS,
             *fleet.HANDLERS,
         ],
+        logging_config=None,
         exception_handlers={
             VerbenawindError: error_response,
             HTTPException: http_error_response,
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -32,6 +32,7 @@
 from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
+from verbenawind.supervision import supervise
 from verbenawind.weights import WeightsController
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
@@ -138,8 +139,13 @@
         await self.peers.start()
         await self._refresh_configuration()
         await self.watcher.refresh()
-        for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
-            self._tasks.append(asyncio.get_running_loop().create_task(work))
+        for name, work in (
+            ("watcher", self.watcher.run),
+            ("weights", self.weights.run),
+            ("configuration", self.configuration.run),
+        ):
+            supervised = supervise(name, work, self.outside.clock)
+            self._tasks.append(asyncio.get_running_loop().create_task(supervised))
         self.ready = True
 
     async def stop(self) -> None:
