--- a/src/verbenawind/routing/callers.py
+++ b/src/verbenawind/routing/callers.py
@@ -8,6 +8,7 @@
 __all__ = ["CallerLimits", "TokenBucket"]
 
 _BURST_S = 1.0
+_MIN_RETRY_AFTER_S = 0.001
 _UNEVENNESS = 2.0
 
 
@@ -80,7 +81,9 @@
         if not usage.bucket.take():
             raise RateLimited(
                 f"caller {spec.name!r} exceeds its rate of {spec.rate_per_s} requests per second",
-                retry_after_s=round((1.0 - usage.bucket.tokens) / rate_per_s, 3),
+                retry_after_s=max(
+                    _MIN_RETRY_AFTER_S, round((1.0 - usage.bucket.tokens) / rate_per_s, 3)
+                ),
             )
         usage.in_flight += 1
 
--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -1,6 +1,5 @@
 """Runs requests on backend servers: turns, choice, attempts, retries and resumption."""
 
-import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from random import Random
@@ -8,17 +7,8 @@
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.document import CallerSpec, EnvironmentDocument, ServiceSpec
-from verbenawind.errors import (
-    AdmissionRefused,
-    BackendServerFailed,
-    BackendServerUnreachable,
-    DeadlineExceeded,
-    Draining,
-    Outcome,
-    VerbenawindError,
-)
-from verbenawind.ids import new_id
+from verbenawind.document import ServiceSpec
+from verbenawind.errors import VerbenawindError
 from verbenawind.kernel import Fleet, ServerView
 from verbenawind.kernel.messages import (
     EngineEvent,
@@ -35,56 +25,16 @@
     TableStore,
 )
 from verbenawind.metrics import Metrics
+from verbenawind.routing.admission import Admission
 from verbenawind.routing.answers import Answer, AnswerKeeper
-from verbenawind.routing.attempts import CrashDetector, Failure, stream
-from verbenawind.routing.callers import CallerLimits
-from verbenawind.routing.choice import OTHER_REGION, Choice
-from verbenawind.routing.engine_pool import EngineNeed, EnginePool
+from verbenawind.routing.engine_pool import EnginePool
 from verbenawind.routing.policy import RoutingPolicy
-from verbenawind.routing.retries import RetryBudget, backoff_s
+from verbenawind.routing.runs import Run, Runner
 from verbenawind.routing.services import ServiceDispatcher
-from verbenawind.routing.slots import Ticket
 from verbenawind.routing.stats import RoutingStats
-from verbenawind.routing.suspects import Suspects, fingerprint
-from verbenawind.routing.trials import TrialAsk, TrialGate
 
 __all__ = ["Dispatcher"]
 
-_SUSPECT_SERVER_S = 2.0
-_REFUSED_S = 0.2
-_DRAIN_RETRY_AFTER_S = 1.0
-_TRIAL_PERIOD_S = 0.05
-_TRIAL_TOKENS = 16
-
-
-class _Run:
-    """The state of one request between its attempts."""
-
-    __slots__ = (
-        "answer",
-        "crash_age_s",
-        "dispatched",
-        "excluded",
-        "fingerprint",
-        "request",
-        "retry",
-        "trial",
-    )
-
-    def __init__(self, request: GenerateRequest, answer: Answer) -> None:
-        self.request = request
-        self.answer = answer
-        self.fingerprint = fingerprint(request)
-        self.excluded: set[str] = set()
-        self.retry = 0
-        self.dispatched = bool(answer.token_ids)
-        self.crash_age_s = 0.0
-        self.trial: TrialAsk | None = None
-
-    def outcome(self) -> Outcome:
-        """Return what is true of a request that gives up now."""
-        return Outcome.MAY_HAVE_RUN if self.dispatched else Outcome.NOT_RUN
-
 
 class Dispatcher:
     """Implements the Generator and ServiceCaller ports.
@@ -117,26 +67,24 @@
         policy: RoutingPolicy | None = None,
     ) -> None:
         self._fleet = fleet
-        self._clients = clients
         self._clock = clock
         self._rng = rng
-        self._configuration = configuration
         self._peers = peers
-        self._metrics = metrics
         self._policy = policy or RoutingPolicy()
         self._pools: dict[str, EnginePool] = {}
-        self._budgets: dict[tuple[str, WorkKind], RetryBudget] = {}
-        self._callers = CallerLimits()
+        self._admission = Admission(configuration, peers, clock)
         self._answers = AnswerKeeper(clock, peers, fleet)
-        self._suspects = Suspects(clock, peers)
-        self._trials = TrialGate(fleet, peers, clock)
-        self._crashes = CrashDetector(fleet, clients)
-        self._active = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
         self._log = structlog.get_logger("routing")
-        self.draining = False
         self.stats = RoutingStats()
+        self._runner = Runner(
+            fleet=fleet,
+            clients=clients,
+            clock=clock,
+            rng=rng,
+            peers=peers,
+            metrics=metrics,
+            stats=self.stats,
+        )
         self.services = ServiceDispatcher(
             fleet=fleet,
             clients=clients,
@@ -153,76 +101,67 @@
 
     def free_slots(self, pool: str) -> int:
         """Return how many more rollout generations the pool would start at once."""
-        return 0 if self.draining else self._pool(pool).free_slots()
+        return 0 if self._admission.draining else self._pool(pool).free_slots()
 
     async def generate(self, request: GenerateRequest) -> AsyncGenerator[EngineEvent, None]:
         """Stream the whole answer, resuming on another engine when one fails."""
-        spec = self._enter(request.environment, request.caller, request.kind)
         try:
-            answer = await self._answers.open(request)
+            spec = self._admission.enter(request.environment, request.caller, request.kind)
             try:
-                for tokens in answer.tokens:
-                    yield tokens
-                if answer.ended is not None:
-                    yield answer.ended
-                else:
-                    async with aclosing(self._run(_Run(request, answer))) as events:
-                        async for event in events:
-                            yield event
+                async with aclosing(self._answer(request)) as events:
+                    async for event in events:
+                        yield event
             finally:
-                self._answers.close(request, answer)
+                self._admission.leave(request.environment, spec)
         except VerbenawindError as error:
             self._refused(request.request_id, error)
             raise
-        finally:
-            self._leave(request.environment, request.caller, spec)
 
     async def call_service(self, request: ServiceRequest, spec: ServiceSpec) -> ServiceResponse:
         """Call a plain service; a non-idempotent request runs at most once."""
-        caller = self._enter(request.environment, request.caller, WorkKind.APPLICATION)
         try:
-            return await self.services.call(request, spec)
+            caller = self._admission.enter(
+                request.environment, request.caller, WorkKind.APPLICATION
+            )
+            try:
+                return await self.services.call(request, spec)
+            finally:
+                self._admission.leave(request.environment, caller)
         except VerbenawindError as error:
             self._refused(request.request_id, error)
             raise
-        finally:
-            self._leave(request.environment, request.caller, caller)
 
     async def drain(self) -> None:
         """Refuse new requests and return once every request in flight has ended."""
-        self.draining = True
-        await self._idle.wait()
+        await self._admission.drain()
         await self.services.finish()
 
-    # Admission.
+    async def _answer(self, request: GenerateRequest) -> AsyncGenerator[EngineEvent, None]:
+        """Stream what is kept of the answer, then the rest."""
+        answer = await self._open(request)
+        try:
+            for tokens in answer.tokens:
+                yield tokens
+            if answer.ended is not None:
+                yield answer.ended
+                return
+            run, pool = Run(request, answer), self._pool_for(request)
+            async with aclosing(self._runner.run(run, pool)) as events:
+                async for event in events:
+                    yield event
+        finally:
+            self._answers.close(request, answer)
 
-    def _enter(self, environment: str, caller: str, kind: WorkKind) -> CallerSpec | None:
-        if self.draining:
-            self._count_refusal(Draining.code)
-            raise Draining(
-                f"daemon {self._peers.peer_id} is shutting down", retry_after_s=_DRAIN_RETRY_AFTER_S
-            )
-        spec = self._caller_spec(environment, caller) if kind is WorkKind.APPLICATION else None
-        if spec is not None:
-            daemons = len(self._peers.peers()) + 1
-            try:
-                self._callers.enter(environment, spec, daemons, self._clock.monotonic_s())
-            except VerbenawindError as error:
-                self._count_refusal(error.code)
-                raise
-        self._active += 1
-        self._idle.clear()
-        return spec
+    async def _open(self, request: GenerateRequest) -> Answer:
+        """Return the answer to continue; a sample is always drawn anew, so none is kept."""
+        if request.kind is WorkKind.ROLLOUT:
+            return Answer("")
+        return await self._answers.open(request)
 
-    def _leave(self, environment: str, caller: str, spec: CallerSpec | None) -> None:
-        if spec is not None:
-            self._callers.leave(environment, caller)
-        self._active -= 1
-        if not self._active:
-            self._idle.set()
+    # Pools and refusals.
 
     def _refused(self, request_id: str, error: VerbenawindError) -> None:
-        self._count_refusal(error.code)
+        self.stats.refusals[error.code] += 1
         self._log.info(
             "request_failed",
             request_id=request_id,
@@ -232,20 +171,6 @@
             reason=error.message,
         )
 
-    def _count_refusal(self, code: str) -> None:
-        self.stats.refusals[code] += 1
-
-    def _document(self, environment: str) -> EnvironmentDocument | None:
-        name, _, stage = environment.partition("/")
-        revision = self._configuration.current(name, stage)
-        return revision.document if revision else None
-
-    def _caller_spec(self, environment: str, caller: str) -> CallerSpec | None:
-        document = self._document(environment)
-        if document is None:
-            return None
-        return next((spec for spec in document.callers if spec.name == caller), None)
-
     def _pool(self, name: str) -> EnginePool:
         pool = self._pools.get(name)
         if pool is None:
@@ -261,7 +186,7 @@
 
     def _pool_for(self, request: GenerateRequest) -> EnginePool:
         pool = self._pool(request.pool)
-        document = self._document(request.environment)
+        document = self._admission.document(request.environment)
         if document is not None:
             pool.spec = document.pool(request.pool) or pool.spec
             pool.crossing = document.cross_region
@@ -271,193 +196,3 @@
         pool = self._pools.get(view.server.group)
         if pool is not None:
             pool.refresh_now()
-
-    # Attempts and retries.
-
-    async def _run(self, run: _Run) -> AsyncGenerator[EngineEvent, None]:
-        request, pool = run.request, self._pool_for(run.request)
-        budget = self._budget(request)
-        budget.deposit(pool.spec.retry_budget)
-        while True:
-            self._suspects.check(request, run.fingerprint, run.outcome())
-            if self._suspects.suspected(run.fingerprint):
-                await self._wait_for_trial(run)
-            try:
-                async with aclosing(self._attempt(run, pool)) as events:
-                    async for event in events:
-                        yield event
-                return
-            except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
-                if run.answer.superseded or not budget.withdraw(self._clock.monotonic_s()):
-                    error.outcome = run.outcome()
-                    raise
-                self.stats.retries += 1
-                wait_s = 0.0 if run.dispatched else backoff_s(run.retry, self._rng)
-                run.retry += 1
-                self._log.info(
-                    "attempt_failed",
-                    request_id=request.request_id,
-                    error=error.message,
-                    held_tokens=len(run.answer.token_ids),
-                    retry_in_s=round(wait_s, 4),
-                )
-            finally:
-                await self._end_trial(run)
-            await self._clock.sleep(max(0.0, min(wait_s, self._remaining_s(request))))
-
-    async def _attempt(self, run: _Run, pool: EnginePool) -> AsyncGenerator[EngineEvent, None]:
-        ticket = self._ticket(run)
-        choice = await pool.queue.acquire(ticket)
-        started_s = self._clock.monotonic_s()
-        server_id = choice.server_id
-        assert server_id is not None
-        wait_s = started_s - ticket.since_s
-        self.stats.waited(run.request.kind, wait_s)
-        self._metrics.observe_queue_wait(run.request.environment, run.request.kind, wait_s)
-        if run.trial is not None:
-            pool.trial_servers.add(server_id)
-        view = self._fleet.view(server_id)
-        try:
-            if view is None or view.leaving:
-                raise BackendServerUnreachable(f"engine {server_id} has left")
-            if run.trial is None and self._suspects.suspected(run.fingerprint):
-                raise BackendServerUnreachable("the request came under suspicion in the queue")
-            async with aclosing(self._stream(run, pool, view, choice)) as events:
-                async for event in events:
-                    yield event
-            pool.queue.holds[ticket.kind].observe(self._clock.monotonic_s() - started_s)
-        except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
-            run.excluded.add(server_id)
-            await self._failed(run, pool, view, error, started_s)
-            raise
-        finally:
-            if run.trial is not None:
-                pool.trial_servers.discard(server_id)
-            pool.queue.release(ticket, server_id)
-
-    async def _stream(
-        self, run: _Run, pool: EnginePool, view: ServerView, choice: Choice
-    ) -> AsyncGenerator[EngineEvent, None]:
-        request, answer = run.request, run.answer
-        started_s = self._clock.monotonic_s()
-        held, first = len(answer.token_ids), True
-        self.stats.chose(choice.affine)
-        events = stream(self._clients, view, request, answer, self._clock)
-        sent_bytes, received_bytes = len(request.prompt), -answer.size_bytes
-        try:
-            async for event in events:
-                run.dispatched = True
-                if first:
-                    first = False
-                    waited_s = self._clock.monotonic_s() - started_s
-                    pool.observe_start(view.server.server_id, waited_s)
-                yield event
-                if run.trial is not None and len(answer.token_ids) - held >= _TRIAL_TOKENS:
-                    await self._pass_trial(run)
-            await self._pass_trial(run)
-        finally:
-            await events.aclose()
-            received_bytes += answer.size_bytes
-            if choice.distance == OTHER_REGION:
-                self._count_crossing(view, sent_bytes, received_bytes)
-
-    def _count_crossing(self, view: ServerView, sent_bytes: int, received_bytes: int) -> None:
-        own, other = self._fleet.location.region, view.server.location.region
-        self.stats.cross_region_bytes += sent_bytes + received_bytes
-        self._metrics.add_cross_region_bytes(own, other, sent_bytes)
-        self._metrics.add_cross_region_bytes(other, own, received_bytes)
-
-    async def _failed(
-        self,
-        run: _Run,
-        pool: EnginePool,
-        view: ServerView | None,
-        error: VerbenawindError,
-        started_s: float,
-    ) -> None:
-        """Learn from a failed attempt what it says of the engine and of the request."""
-        if view is None:
-            return
-        server_id = view.server.server_id
-        if isinstance(error, AdmissionRefused):
-            pool.refuse(server_id)
-            self._fleet.suspect(server_id, error.retry_after_s or _REFUSED_S)
-            return
-        self._fleet.suspect(server_id, _SUSPECT_SERVER_S)
-        if not isinstance(error, BackendServerFailed) or run.answer.superseded:
-            return
-        run.dispatched = True
-        failure = await self._crashes.diagnose(view)
-        if failure is not Failure.CRASH:
-            return
-        crash_id = f"{server_id}/{view.server.incarnation}"
-        age_s = self._clock.monotonic_s() - started_s
-        if run.trial is not None:
-            self._suspects.convict(run.fingerprint, crash_id)
-        else:
-            self._suspects.accuse(run.fingerprint, crash_id)
-            run.excluded.clear()
-            run.excluded.add(server_id)
-            run.crash_age_s = age_s
-
-    # Trials of suspects.
-
-    async def _wait_for_trial(self, run: _Run) -> None:
-        ask = self._trial_of(run)
-        while self._suspects.suspected(run.fingerprint):
-            if self._remaining_s(run.request) <= 0:
-                raise DeadlineExceeded(
-                    f"request {run.request.request_id} is suspected of crashing engines and "
-                    "got no turn before its deadline",
-                    outcome=run.outcome(),
-                    retry_after_s=_SUSPECT_SERVER_S,
-                )
-            if await self._trials.ask(ask):
-                run.trial = ask
-                return
-            await self._clock.sleep(_TRIAL_PERIOD_S)
-        self._suspects.check(run.request, run.fingerprint, run.outcome())
-
-    async def _pass_trial(self, run: _Run) -> None:
-        if run.trial is not None:
-            self._suspects.clear(run.fingerprint)
-            await self._end_trial(run)
-
-    async def _end_trial(self, run: _Run) -> None:
-        trial, run.trial = run.trial, None
-        if trial is not None:
-            await self._trials.end(trial)
-
-    @staticmethod
-    def _trial_of(run: _Run) -> TrialAsk:
-        return TrialAsk(
-            pool=run.request.pool,
-            fingerprint=run.fingerprint,
-            trial_id=new_id("trial"),
-            age_s=run.crash_age_s,
-        )
-
-    # Small things.
-
-    def _ticket(self, run: _Run) -> Ticket:
-        request = run.request
-        need = EngineNeed(request, set(run.excluded), trial=run.trial is not None)
-        return Ticket(
-            request_id=request.request_id,
-            caller=f"{request.environment}/{request.caller}",
-            kind=request.kind,
-            weight=1.0 + request.priority,
-            lane=(request.model, request.min_version, need.trial),
-            deadline_s=request.deadline_s,
-            resumed=run.dispatched,
-            payload=need,
-        )
-
-    def _budget(self, request: GenerateRequest) -> RetryBudget:
-        key = (request.pool, request.kind)
-        if key not in self._budgets:
-            self._budgets[key] = RetryBudget(self._clock.monotonic_s())
-        return self._budgets[key]
-
-    def _remaining_s(self, request: GenerateRequest) -> float:
-        return request.deadline_s - self._clock.monotonic_s()
--- /dev/null
+++ b/src/verbenawind/routing/runs.py
@@ -0,0 +1,298 @@
+"""Attempts of one generation after each other: retries, resumption, trials of suspects."""
+
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from random import Random
+
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    BackendServerUnreachable,
+    DeadlineExceeded,
+    Outcome,
+    VerbenawindError,
+)
+from verbenawind.ids import new_id
+from verbenawind.kernel import Fleet, ServerView
+from verbenawind.kernel.messages import EngineEvent, GenerateRequest, WorkKind
+from verbenawind.kernel.ports import BackendClients, PeerBus
+from verbenawind.metrics import Metrics
+from verbenawind.routing.answers import Answer
+from verbenawind.routing.attempts import CrashDetector, Failure, stream
+from verbenawind.routing.choice import OTHER_REGION, Choice
+from verbenawind.routing.engine_pool import EngineNeed, EnginePool
+from verbenawind.routing.retries import RetryBudget, backoff_s
+from verbenawind.routing.slots import Ticket
+from verbenawind.routing.stats import RoutingStats
+from verbenawind.routing.suspects import Suspects, fingerprint
+from verbenawind.routing.trials import TrialAsk, TrialGate
+
+__all__ = ["Run", "Runner"]
+
+_SUSPECT_SERVER_S = 2.0
+_REFUSED_S = 0.2
+_TRIAL_PERIOD_S = 0.05
+_TRIAL_TOKENS = 16
+
+
+class Run:
+    """The state of one request between its attempts.
+
+    Args:
+        request: The generation.
+        answer: What is held of its answer.
+    """
+
+    __slots__ = (
+        "answer",
+        "crash_age_s",
+        "dispatched",
+        "excluded",
+        "fingerprint",
+        "request",
+        "retry",
+        "trial",
+    )
+
+    def __init__(self, request: GenerateRequest, answer: Answer) -> None:
+        self.request = request
+        self.answer = answer
+        self.fingerprint = fingerprint(request)
+        self.excluded: set[str] = set()
+        self.retry = 0
+        self.dispatched = bool(answer.token_ids)
+        self.crash_age_s = 0.0
+        self.trial: TrialAsk | None = None
+
+    def outcome(self) -> Outcome:
+        """Return what is true of a request that gives up now."""
+        return Outcome.MAY_HAVE_RUN if self.dispatched else Outcome.NOT_RUN
+
+
+class Runner:
+    """Runs generations on the engines of their pools.
+
+    Args:
+        fleet: The view of the backend servers.
+        clients: Clients of the backend servers.
+        clock: Time source.
+        rng: Jitter.
+        peers: The other daemons.
+        metrics: Counts waits and bytes between regions.
+        stats: Counts what routing did.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clients: BackendClients,
+        clock: Clock,
+        rng: Random,
+        peers: PeerBus,
+        metrics: Metrics,
+        stats: RoutingStats,
+    ) -> None:
+        self._fleet = fleet
+        self._clients = clients
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._stats = stats
+        self._budgets: dict[tuple[str, WorkKind], RetryBudget] = {}
+        self._suspects = Suspects(clock, peers)
+        self._trials = TrialGate(fleet, peers, clock)
+        self._crashes = CrashDetector(fleet, clients)
+        self._log = structlog.get_logger("routing")
+
+    async def run(self, run: Run, pool: EnginePool) -> AsyncGenerator[EngineEvent, None]:
+        """Stream what is missing of the answer, attempt after attempt."""
+        request = run.request
+        budget = self._budget(request)
+        budget.deposit(pool.spec.retry_budget)
+        while True:
+            self._suspects.check(request, run.fingerprint, run.outcome())
+            if self._suspects.suspected(run.fingerprint):
+                await self._wait_for_trial(run)
+            try:
+                async with aclosing(self._attempt(run, pool)) as events:
+                    async for event in events:
+                        yield event
+                return
+            except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
+                if run.answer.superseded or not budget.withdraw(self._clock.monotonic_s()):
+                    error.outcome = run.outcome()
+                    raise
+                self._stats.retries += 1
+                wait_s = 0.0 if run.dispatched else backoff_s(run.retry, self._rng)
+                run.retry += 1
+                self._log.info(
+                    "attempt_failed",
+                    request_id=request.request_id,
+                    error=error.message,
+                    held_tokens=len(run.answer.token_ids),
+                    retry_in_s=round(wait_s, 4),
+                )
+            finally:
+                await self._end_trial(run)
+            await self._clock.sleep(max(0.0, min(wait_s, self._remaining_s(request))))
+
+    async def _attempt(self, run: Run, pool: EnginePool) -> AsyncGenerator[EngineEvent, None]:
+        ticket = self._ticket(run)
+        choice = await pool.queue.acquire(ticket)
+        started_s = self._clock.monotonic_s()
+        server_id = choice.server_id
+        assert server_id is not None
+        wait_s = started_s - ticket.since_s
+        self._stats.waited(run.request.kind, wait_s)
+        self._metrics.observe_queue_wait(run.request.environment, run.request.kind, wait_s)
+        if run.trial is not None:
+            pool.trial_servers.add(server_id)
+        view = self._fleet.view(server_id)
+        try:
+            if view is None or view.leaving:
+                raise BackendServerUnreachable(f"engine {server_id} has left")
+            if run.trial is None and self._suspects.suspected(run.fingerprint):
+                raise BackendServerUnreachable("the request came under suspicion in the queue")
+            async with aclosing(self._stream(run, pool, view, choice)) as events:
+                async for event in events:
+                    yield event
+            pool.queue.holds[ticket.kind].observe(self._clock.monotonic_s() - started_s)
+        except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
+            run.excluded.add(server_id)
+            await self._failed(run, pool, view, error, started_s)
+            raise
+        finally:
+            if run.trial is not None:
+                pool.trial_servers.discard(server_id)
+            pool.queue.release(ticket, server_id)
+
+    async def _stream(
+        self, run: Run, pool: EnginePool, view: ServerView, choice: Choice
+    ) -> AsyncGenerator[EngineEvent, None]:
+        request, answer = run.request, run.answer
+        started_s = self._clock.monotonic_s()
+        held, first = len(answer.token_ids), True
+        self._stats.chose(choice.affine)
+        events = stream(self._clients, view, request, answer, self._clock)
+        sent_bytes, received_bytes = len(request.prompt), -answer.size_bytes
+        try:
+            async for event in events:
+                run.dispatched = True
+                if first:
+                    first = False
+                    waited_s = self._clock.monotonic_s() - started_s
+                    pool.observe_start(view.server.server_id, waited_s)
+                yield event
+                if run.trial is not None and len(answer.token_ids) - held >= _TRIAL_TOKENS:
+                    await self._pass_trial(run)
+            await self._pass_trial(run)
+        finally:
+            await events.aclose()
+            received_bytes += answer.size_bytes
+            if choice.distance == OTHER_REGION:
+                self._count_crossing(view, sent_bytes, received_bytes)
+
+    def _count_crossing(self, view: ServerView, sent_bytes: int, received_bytes: int) -> None:
+        own, other = self._fleet.location.region, view.server.location.region
+        self._stats.cross_region_bytes += sent_bytes + received_bytes
+        self._metrics.add_cross_region_bytes(own, other, sent_bytes)
+        self._metrics.add_cross_region_bytes(other, own, received_bytes)
+
+    async def _failed(
+        self,
+        run: Run,
+        pool: EnginePool,
+        view: ServerView | None,
+        error: VerbenawindError,
+        started_s: float,
+    ) -> None:
+        """Learn from a failed attempt what it says of the engine and of the request."""
+        if view is None:
+            return
+        server_id = view.server.server_id
+        if isinstance(error, AdmissionRefused):
+            pool.refuse(server_id)
+            self._fleet.suspect(server_id, error.retry_after_s or _REFUSED_S)
+            return
+        self._fleet.suspect(server_id, _SUSPECT_SERVER_S)
+        if not isinstance(error, BackendServerFailed) or run.answer.superseded:
+            return
+        run.dispatched = True
+        failure = await self._crashes.diagnose(view)
+        if failure is not Failure.CRASH:
+            return
+        crash_id = f"{server_id}/{view.server.incarnation}"
+        age_s = self._clock.monotonic_s() - started_s
+        if run.trial is not None:
+            self._suspects.convict(run.fingerprint, crash_id)
+        else:
+            self._suspects.accuse(run.fingerprint, crash_id)
+            run.excluded.clear()
+            run.excluded.add(server_id)
+            run.crash_age_s = age_s
+
+    # Trials of suspects.
+
+    async def _wait_for_trial(self, run: Run) -> None:
+        ask = self._trial_of(run)
+        while self._suspects.suspected(run.fingerprint):
+            if self._remaining_s(run.request) <= 0:
+                raise DeadlineExceeded(
+                    f"request {run.request.request_id} is suspected of crashing engines and "
+                    "got no turn before its deadline",
+                    outcome=run.outcome(),
+                    retry_after_s=_SUSPECT_SERVER_S,
+                )
+            if await self._trials.ask(ask):
+                run.trial = ask
+                return
+            await self._clock.sleep(_TRIAL_PERIOD_S)
+        self._suspects.check(run.request, run.fingerprint, run.outcome())
+
+    async def _pass_trial(self, run: Run) -> None:
+        if run.trial is not None:
+            self._suspects.clear(run.fingerprint)
+            await self._end_trial(run)
+
+    async def _end_trial(self, run: Run) -> None:
+        trial, run.trial = run.trial, None
+        if trial is not None:
+            await self._trials.end(trial)
+
+    @staticmethod
+    def _trial_of(run: Run) -> TrialAsk:
+        return TrialAsk(
+            pool=run.request.pool,
+            fingerprint=run.fingerprint,
+            trial_id=new_id("trial"),
+            age_s=run.crash_age_s,
+        )
+
+    # Small things.
+
+    def _ticket(self, run: Run) -> Ticket:
+        request = run.request
+        need = EngineNeed(request, set(run.excluded), trial=run.trial is not None)
+        return Ticket(
+            request_id=request.request_id,
+            caller=f"{request.environment}/{request.caller}",
+            kind=request.kind,
+            weight=1.0 + request.priority,
+            lane=(request.model, request.min_version, need.trial),
+            deadline_s=request.deadline_s,
+            resumed=run.dispatched,
+            payload=need,
+        )
+
+    def _budget(self, request: GenerateRequest) -> RetryBudget:
+        key = (request.pool, request.kind)
+        if key not in self._budgets:
+            self._budgets[key] = RetryBudget(self._clock.monotonic_s())
+        return self._budgets[key]
+
+    def _remaining_s(self, request: GenerateRequest) -> float:
+        return request.deadline_s - self._clock.monotonic_s()
--- /dev/null
+++ b/tests/routing/test_decisions.py
@@ -0,0 +1,211 @@
+"""Tests of routing's pure decisions."""
+
+from random import Random
+
+import pytest
+
+from verbenawind.document import CallerKind, CallerSpec
+from verbenawind.errors import RateLimited
+from verbenawind.routing.callers import CallerLimits
+from verbenawind.routing.choice import Candidate, CrossingCost, Tier, choose_engine
+from verbenawind.routing.fair_queue import FairQueue
+from verbenawind.routing.limits import EngineLimit
+from verbenawind.routing.rendezvous import PrefixTable, owner, top
+from verbenawind.routing.reserve import ApplicationReserve
+from verbenawind.routing.retries import RetryBudget, backoff_s
+
+CROSSING = CrossingCost(
+    size_bytes=1 << 20, price_per_gib=1.0, waiting_price_per_s=0.001, added_s=0.02
+)
+
+
+def candidate(
+    server_id: str, *, load: float = 0.0, free: int = 1, preference: int | None = None
+) -> Candidate:
+    """Return a candidate."""
+    return Candidate(server_id=server_id, preference=preference, load=load, free=free)
+
+
+def tier(far: int, *candidates: Candidate, wait_s: float = 0.0) -> Tier:
+    """Return a tier of candidates."""
+    return Tier(distance=far, candidates=candidates, considered=len(candidates), wait_s=wait_s)
+
+
+class TestChoice:
+    def test_preferred_engine_within_bounded_load(self) -> None:
+        """The prefix's engine is taken although another one is less loaded."""
+        engines = (candidate("a", load=0.5, preference=0), candidate("b", load=0.45))
+        choice = choose_engine([tier(0, *engines)], CROSSING)
+        assert choice.server_id == "a" and choice.affine
+
+    def test_overloaded_preferred_engine_is_passed_over(self) -> None:
+        """The prefix's engine is left when its load is far above the mean."""
+        engines = (candidate("a", load=0.9, free=4, preference=0), candidate("b", load=0.1))
+        assert choose_engine([tier(0, *engines)], CROSSING).server_id == "b"
+
+    def test_nearest_free_tier_wins(self) -> None:
+        """An engine of the zone is taken before a less loaded one of the region."""
+        tiers = [tier(0, candidate("near", load=0.9)), tier(1, candidate("far"))]
+        assert choose_engine(tiers, CROSSING).server_id == "near"
+
+    @pytest.mark.parametrize(("wait_s", "chosen"), [(0.5, None), (5.0, "far")])
+    def test_region_is_crossed_when_waiting_costs_more(
+        self, wait_s: float, chosen: str | None
+    ) -> None:
+        """A mebibyte at 1 a gibibyte costs about a second of waiting at 0.001."""
+        tiers = [tier(0, candidate("near", free=0), wait_s=wait_s), tier(2, candidate("far"))]
+        choice = choose_engine(tiers, CROSSING)
+        assert choice.server_id == chosen and choice.usable
+
+    def test_region_is_crossed_when_nothing_near_fits(self) -> None:
+        """With no fitting engine nearer, price is no reason to refuse."""
+        choice = choose_engine([tier(0), tier(2, candidate("far"))], CROSSING)
+        assert choice.server_id == "far"
+
+    def test_no_fitting_engine_is_not_usable(self) -> None:
+        """Nothing that could take it even when idle is told apart from everything full."""
+        assert not choose_engine([tier(0)], CROSSING).usable
+        assert choose_engine([tier(0, candidate("a", free=0))], CROSSING).usable
+
+
+class TestFairQueue:
+    def test_flood_does_not_delay_another_caller(self) -> None:
+        """A caller with one request is served next after at most one of the flood."""
+        queue: FairQueue[str] = FairQueue()
+        for index in range(100):
+            queue.push(f"flood{index}", caller="flood", weight=1.0)
+        queue.push("single", caller="other", weight=1.0)
+        assert "single" in [queue.pop() for _ in range(2)]
+
+    def test_weights_set_the_shares(self) -> None:
+        """A caller of three times the weight gets three quarters of the turns."""
+        queue: FairQueue[str] = FairQueue()
+        for _ in range(100):
+            queue.push("heavy", caller="heavy", weight=3.0)
+            queue.push("light", caller="light", weight=1.0)
+        served = [queue.pop() for _ in range(80)]
+        assert 58 <= served.count("heavy") <= 62
+
+    def test_removed_items_are_not_served(self) -> None:
+        """An item that gave up is skipped, and the length counts the rest."""
+        queue: FairQueue[str] = FairQueue()
+        first = queue.push("a", caller="x", weight=1.0)
+        queue.push("b", caller="x", weight=1.0)
+        queue.remove(first, "x")
+        assert len(queue) == 1 and queue.pop() == "b" and len(queue) == 0
+
+
+class TestEngineLimit:
+    def limit(self, users: float = 2.0) -> EngineLimit:
+        """Return the limit of an engine of 16 places."""
+        limit = EngineLimit(0.0)
+        limit.divide(capacity=16, users=users, running=0, waiting=0, rising=False)
+        return limit
+
+    def test_starts_at_the_even_share(self) -> None:
+        """Two daemons get half of the engine each, and many at least one place."""
+        assert self.limit(2.0).slots() == 8
+        assert self.limit(100.0).slots() == 1
+
+    def test_queueing_in_the_engine_lowers_it(self) -> None:
+        """Late first tokens lower the limit, and prompt ones raise it to the share again."""
+        limit = self.limit()
+        limit.observe_start(0.05, 1.0, used_up=True)
+        for at_s in range(2, 10):
+            limit.observe_start(1.0, float(at_s), used_up=True)
+        lowered = limit.slots()
+        for at_s in range(10, 60):
+            limit.observe_start(0.05, at_s / 10 + 10, used_up=True)
+        assert lowered <= 3 and limit.slots() == 8
+
+    def test_borrows_free_places_and_gives_them_back(self) -> None:
+        """Above its share a daemon follows the engine's reports of free places and of queues."""
+        limit = self.limit()
+        limit.observe_start(0.05, 1.0, used_up=True)
+        limit.refuse(2.0)
+        for _ in range(20):
+            limit.divide(capacity=16, users=2.0, running=8, waiting=0, rising=True)
+        borrowed = limit.slots()
+        for _ in range(20):
+            limit.divide(capacity=16, users=2.0, running=16, waiting=3, rising=True)
+        assert borrowed == 16 and limit.slots() == 8
+
+
+class TestReserve:
+    def test_reserve_follows_recent_need(self) -> None:
+        """Without applications one slot is kept; with many, up to their share; later it decays."""
+        reserve = ApplicationReserve(0.0)
+        idle = reserve.headroom(fraction=0.25, slots=64, in_use=0, wanted=0, now_s=1.0)
+        busy = reserve.headroom(fraction=0.25, slots=64, in_use=4, wanted=40, now_s=2.0)
+        later = reserve.headroom(fraction=0.25, slots=64, in_use=0, wanted=0, now_s=300.0)
+        assert (idle, busy, later) == (1, 12, 2)
+
+
+class TestRetryBudget:
+    def test_sustained_retries_are_a_fraction(self) -> None:
+        """Once the reserve is used, retries are a tenth of first attempts."""
+        budget = RetryBudget(0.0)
+        while budget.withdraw(0.0):
+            pass
+        allowed = 0
+        for _ in range(1000):
+            budget.deposit(0.1)
+            allowed += budget.withdraw(0.0)
+        assert 95 <= allowed <= 101
+
+    def test_backoff_is_full_jitter(self) -> None:
+        """Waits fill the range from zero up to a bound that doubles and then stays."""
+        rng = Random(1)
+        early = [backoff_s(0, rng) for _ in range(200)]
+        late = [backoff_s(20, rng) for _ in range(200)]
+        assert min(early) < 0.01 and 0.04 < max(early) <= 0.05
+        assert min(late) < 0.1 and 1.8 < max(late) <= 2.0
+
+
+class TestCallerLimits:
+    SPEC = CallerSpec(
+        name="desk",
+        kind=CallerKind.APPLICATION,
+        token_sha256="0" * 64,
+        rate_per_s=10.0,
+        max_concurrency=100,
+    )
+
+    def test_rate_is_held_after_a_burst(self) -> None:
+        """A second's burst is let in, then the rate; the refusal says when to come back."""
+        limits = CallerLimits()
+        let_in = 0
+        for tick in range(1000):
+            try:
+                limits.enter("e", self.SPEC, 1, tick / 100)
+            except RateLimited as error:
+                assert error.retry_after_s is not None and 0 < error.retry_after_s <= 0.1
+            else:
+                limits.leave("e", "desk")
+                let_in += 1
+        assert 105 <= let_in <= 111
+
+    def test_daemons_divide_the_concurrency(self) -> None:
+        """One of ten daemons lets in twice its even share."""
+        limits = CallerLimits()
+        for _ in range(10):
+            limits.enter("e", self.SPEC, 10, 0.0)
+        with pytest.raises(RateLimited):
+            for _ in range(11):
+                limits.enter("e", self.SPEC, 10, 10.0)
+
+
+class TestRendezvous:
+    def test_losing_a_member_moves_only_its_keys(self) -> None:
+        """Keys of the members that stay keep their owner."""
+        members = [f"engine-{index}" for index in range(20)]
+        before = {key: owner(key, members) for key in map(str, range(300))}
+        after = {key: owner(key, members[1:]) for key in before}
+        assert all(after[key] == old for key, old in before.items() if old != members[0])
+
+    def test_table_prefers_the_same_engines_everywhere(self) -> None:
+        """Daemons that list the engines in another order prefer the same ones."""
+        members = [f"engine-{index}" for index in range(20)]
+        tables = [PrefixTable(members, 3), PrefixTable(members[::-1], 3)]
+        assert all(tables[0].preferred(slot) == tables[1].preferred(slot) for slot in range(50))
+        assert len(set(top("key", members, 3))) == 3
--- a/tests/routing/test_generations.py
+++ b/tests/routing/test_generations.py
@@ -152,6 +152,18 @@
 
         scenario(work)
 
+    def test_sample_is_drawn_anew(self) -> None:
+        """A sample that is asked for again under the same id runs again: none is replayed."""
+
+        async def work(world: World) -> None:
+            (core,) = await start(world)
+            request = ask(core, kind=WorkKind.ROLLOUT)
+            await run(core, request)
+            assert is_whole(await run(core, request), request)
+            assert starts(world, "r1") == 2
+
+        scenario(work)
+
     def test_request_id_of_another_request_is_refused(self) -> None:
         """A request id that comes with another prompt is refused as invalid."""
 
