--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -37,6 +37,7 @@
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
+_FIRST_VIEW_S = 3.0
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
 
 
@@ -137,12 +138,21 @@
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
         await self.peers.start()
-        await self._refresh_configuration()
-        await self.watcher.refresh()
+        await self._first_view()
         for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
             self._tasks.append(asyncio.get_running_loop().create_task(work))
         self.ready = True
 
+    async def _first_view(self) -> None:
+        """Ask the platform, but start without its answer when it is slow: peers may know."""
+        loop = asyncio.get_running_loop()
+        asked = [
+            loop.create_task(self._refresh_configuration()),
+            loop.create_task(self.watcher.refresh()),
+        ]
+        self._tasks += asked
+        await asyncio.wait(asked, timeout=_FIRST_VIEW_S)
+
     async def stop(self) -> None:
         """Give back leases and stop working."""
         self.ready = False
--- a/src/verbenawind/membership/bus.py
+++ b/src/verbenawind/membership/bus.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from random import Random
 
+import cbor2
 import structlog
 
 from verbenawind.clock import Clock
@@ -184,11 +185,18 @@
         task.add_done_callback(self._tasks.discard)
 
     def _merged(self, item: SpreadItem) -> None:
+        listeners = list(self._listeners.get(item.kind, ()))
         if item.kind == MEMBER_KIND:
-            self.roster.take_in(item)
+            listeners.insert(0, self.roster.take_in)
             self.dialler.wake()
-        for listener in self._listeners.get(item.kind, ()):
-            listener(item)
+        for listener in listeners:
+            try:
+                listener(item)
+            except (ValueError, LookupError, cbor2.CBORError) as error:
+                # A peer of another release may write bodies that this one cannot read.
+                self._log.error(
+                    "spread_item_unreadable", kind=item.kind, key=item.key, reason=repr(error)
+                )
 
     async def _beat(self) -> None:
         while True:
--- a/tests/membership/test_bus.py
+++ b/tests/membership/test_bus.py
@@ -312,6 +312,19 @@
 
         run_cluster({"a": 8}, work)
 
+    def test_unreadable_items_do_no_harm(self) -> None:
+        """An item whose body cannot be read breaks neither links nor other items."""
+
+        async def work(cluster: Cluster) -> None:
+            item = SpreadItem(kind="member", key="m", rank=(1, 0, 0), body=b"\xff")
+            cluster.buses["a-0"].spread(item)
+            cluster.buses["a-0"].spread(_item("revision", 2))
+            await asyncio.sleep(10.0)
+            assert cluster.complete(cluster.zones)
+            assert all(bus.items("revision") for bus in cluster.buses.values())
+
+        run_cluster({"a": 3}, work)
+
     def test_expired_items_vanish(self) -> None:
         """An item is gone after its expiry, and a peer cannot bring it back."""
 
--- a/tests/state/test_configuration.py
+++ b/tests/state/test_configuration.py
@@ -183,6 +183,21 @@
 
         run_world(work)
 
+    def test_does_not_wait_for_a_slow_platform(self) -> None:
+        """A daemon that starts while the table takes a minute is ready by its peers in 5 s."""
+
+        async def work(world: World, cores: list[Core]) -> None:
+            await cores[0].configuration.accept(document("a"), Stage.PRODUCTION)
+            world.table.faults.delay_s = 60.0
+            fresh = world.add_daemon("daemon-9", zone_index=1)
+            started_s = world.clock.monotonic_s()
+            await fresh.start()
+            assert world.clock.monotonic_s() - started_s < 5.0
+            assert fresh.ready
+            assert revision(fresh) == 1
+
+        run_world(work)
+
     def test_stays_unready_until_it_learns(self) -> None:
         """A daemon alone without the platform is unready until the platform returns."""
 
