--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -38,6 +38,7 @@
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
+_FIRST_VIEW_S = 3.0
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
 
 
@@ -138,8 +139,7 @@
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
         await self.peers.start()
-        await self._refresh_configuration()
-        await self.watcher.refresh()
+        await self._first_view()
         for name, work in (
             ("watcher", self.watcher.run),
             ("weights", self.weights.run),
@@ -149,6 +149,16 @@
             self._tasks.append(asyncio.get_running_loop().create_task(supervised))
         self.ready = True
 
+    async def _first_view(self) -> None:
+        """Ask the platform, but start without its answer when it is slow: peers may know."""
+        loop = asyncio.get_running_loop()
+        asked = [
+            loop.create_task(self._refresh_configuration()),
+            loop.create_task(self.watcher.refresh()),
+        ]
+        self._tasks += asked
+        await asyncio.wait(asked, timeout=_FIRST_VIEW_S)
+
     async def stop(self) -> None:
         """Give back leases and stop working."""
         self.ready = False
