--- a/bench/state.py
+++ b/bench/state.py
@@ -85,7 +85,7 @@
         if not figure.startswith(("reads", "writes")):
             continue
         low, high = min(values), max(values)
-        slope = (values[high] - values[low]) / (high - low)
+        slope = max(0.0, (values[high] - values[low]) / (high - low))
         total = values[low] + slope * (_DAEMONS_OF_LETTER - low)
         bound = _SHARE * (_READS_PER_S if figure.startswith("reads") else _WRITES_PER_S)
         figures.append(
