--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -236,9 +236,11 @@
         self._background(self.scene.poll(first, trainer))
         self._background(self.scene.poll(second, trainer))
 
-    @rule(trainer=TRAINER_NAMES, index=DAEMONS)
-    def grade(self, trainer: str, index: int) -> None:
-        """A trainer grades what it holds."""
+    @rule(trainer=TRAINER_NAMES, index=DAEMONS, repeat=st.booleans())
+    def grade(self, trainer: str, index: int, repeat: bool) -> None:
+        """A trainer grades what it holds, again where it lost the acknowledgement."""
+        if repeat:
+            self.scene.trainers[trainer].graded.clear()
         self._background(self.scene.grade(index, trainer))
 
     @rule(trainer=TRAINER_NAMES, index=DAEMONS)
@@ -247,17 +249,19 @@
         self._background(self.scene.publish(index, trainer))
 
     @rule(trainer=TRAINER_NAMES, index=DAEMONS)
-    def publish_thrice(self, trainer: str, index: int) -> None:
-        """A trainer publishes three versions while finished samples wait for its poll."""
+    def overtake(self, trainer: str, index: int) -> None:
+        """Three versions overtake a trainer's finished step before it polls."""
+        step = min(self._steps[trainer] + 1, MAX_STEPS)
 
         async def publish() -> None:
-            await self.scene.clock.sleep(6.0)
+            await self._submit(trainer, index, step)
+            await self.scene.clock.sleep(8.0)
             for _ in range(3):
                 await self.scene.publish(index, trainer)
             await self.scene.poll((index + 1) % 3, trainer)
 
         self._background(publish())
-        self._advance(8.0)
+        self._advance(10.0)
 
     async def _submit(self, trainer: str, index: int, step: int) -> None:
         if await self.scene.submit(index, trainer, step_of(trainer, step)):
@@ -281,6 +285,21 @@
         """A caller sends a request that crashes engines."""
         self._do(lambda: self.scene.ask(index, f"a die {CRASH_MARK}"))
 
+    @rule(index=DAEMONS, number=st.integers(0, 20))
+    def ask_truncated(self, index: int, number: int) -> None:
+        """A caller asks while every engine drops its end marks for two seconds."""
+
+        async def ask() -> None:
+            faults = [engine.faults for engine in self.scene.world.engines.values()]
+            for fault in faults:
+                fault.drop_end_mark = True
+            self.scene.ask(index, f"which glue for envelope {number}")
+            await self.scene.clock.sleep(2.0)
+            for fault in faults:
+                fault.drop_end_mark = False
+
+        self._run(ask())
+
     @rule(index=DAEMONS)
     def look_up(self, index: int) -> None:
         """A caller sends an idempotent call to the plain service."""
