--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -1,24 +1,25 @@
-"""Processor time that a daemon's caller front adds to a streamed generation, over loopback."""
+"""What one daemon adds to streamed answers: real sockets, real time, the real program."""
 
 import asyncio
-import json
+import statistics
+import sys
+import tempfile
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
+from pathlib import Path
 from random import Random
 
 import httpx
 import msgspec
 
 from bench.measurements import Better, Measurement
+from bench.overhead_client import StreamResult, free_port, is_ready, stream_completion
+from bench.overhead_engine import FastEngine
 from verbenawind.clock import SystemClock
-from verbenawind.daemon import Daemon, connect_outside
-from verbenawind.document import Stage, parse_document
 from verbenawind.http_server import HttpServer
 from verbenawind.ids import digest_hex
-from verbenawind.kernel.messages import GenerationAttempt, HostEntry, HostRole, Location
-from verbenawind.settings import DaemonSettings
-from verbenawind.standins.engine import EngineProfile, StandinEngine, natural_length
-from verbenawind.standins.http import engine_app, platform_app
+from verbenawind.kernel.messages import HostEntry, HostRole, Location
+from verbenawind.standins.http import platform_app
 from verbenawind.standins.platform import (
     StandinHostList,
     StandinObjects,
@@ -28,189 +29,226 @@
 
 __all__ = ["run"]
 
-_TOKEN = "bench-token"
-_LENGTHS = (4, 64)
-_CONCURRENCY = 8
-_PROMPT = "which glue for the envelope job"
-_LOCATION = Location(zone="bangkok-a", region="bangkok")
-
-Ask = Callable[[int, int], Awaitable[None]]
+_BENCH = "overhead"
+_TARGET = "issue 4"
+_ENGINES = 8
+_RATE_PER_S = 150.0
+_TOKENS = 200
+_TICK_S = 0.02
+_TOKENS_PER_TICK = 2
+_CALLER_TOKEN = "bench-caller-token"
+_OPERATOR_TOKEN = "bench-operator-token"
+_SETTLE_S = 2.0
+_READY_TIMEOUT_S = 20.0
+_WARM_UP_REQUESTS = 20
+_CLOCK_TICKS_PER_S = 100.0
 
 
 def run(seed: int, short: bool) -> Sequence[Measurement]:
-    """Return the processor time of requests with and without a daemon, and its slopes."""
-    return asyncio.run(_run(seed, 160 if short else 1600))
-
-
-async def _run(seed: int, requests: int) -> Sequence[Measurement]:
-    rig = _Rig(seed)
-    await rig.start()
-    try:
-        return await _measure(rig, requests)
-    finally:
-        await rig.stop()
-
-
-async def _measure(rig: "_Rig", requests: int) -> Sequence[Measurement]:
-    costs: dict[tuple[str, int], float] = {}
-    measured: list[Measurement] = []
-    for tokens in _LENGTHS:
-        for name, ask in (("direct", rig.ask_engine), ("daemon", rig.ask_daemon)):
-            await _burst(ask, tokens, _CONCURRENCY)
-            cost_us = await _burst(ask, tokens, requests)
-            costs[(name, tokens)] = cost_us
-            measured.append(
-                _figure(
-                    "processor time of a request",
-                    f"{name}, {tokens} chunks",
-                    cost_us,
-                    f"direct, {tokens} chunks" if name == "daemon" else None,
-                )
-            )
-    low, high = _LENGTHS
-    added = {tokens: costs[("daemon", tokens)] - costs[("direct", tokens)] for tokens in _LENGTHS}
-    per_chunk = (added[high] - added[low]) / (high - low)
-    measured.append(_figure("front per streamed chunk", "slope", per_chunk))
-    measured.append(_figure("front per request", "slope", added[low] - per_chunk * low))
-    return measured
-
-
-async def _burst(ask: Ask, tokens: int, requests: int) -> float:
-    """Return the processor time of each request, in microseconds."""
-    numbers = iter(range(requests))
-
-    async def work() -> None:
-        for number in numbers:
-            await ask(number, tokens)
-
-    started_s = time.process_time()
-    await asyncio.gather(*(work() for _ in range(_CONCURRENCY)))
-    return (time.process_time() - started_s) / requests * 1e6
-
-
-def _figure(
-    figure: str, variant: str, value_us: float, baseline_variant: str | None = None
-) -> Measurement:
-    return Measurement(
-        bench="overhead",
-        figure=figure,
-        variant=variant,
-        value=value_us,
-        unit="us",
-        better=Better.LOWER,
-        baseline_variant=baseline_variant,
+    """Return the measurements of one run."""
+    return asyncio.run(_run(seed, 6.0 if short else 30.0))
+
+
+async def _run(seed: int, duration_s: float) -> list[Measurement]:
+    engines = [FastEngine(f"engine-{index}") for index in range(_ENGINES)]
+    for engine in engines:
+        await engine.start(_TOKENS, _TOKENS_PER_TICK, _TICK_S)
+    platform = await _platform(seed, engines)
+    port = free_port()
+    with tempfile.TemporaryDirectory() as directory:
+        settings = Path(directory) / "settings.json"
+        settings.write_text(_settings(port, platform.address), encoding="utf-8")
+        daemon = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "verbenawind.daemon",
+            f"--settings={settings}",
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            await _until_ready(port)
+            return await _measure(seed, duration_s, port, engines, daemon.pid)
+        finally:
+            daemon.kill()
+            await daemon.wait()
+            await platform.stop()
+            for engine in engines:
+                await engine.stop()
+
+
+async def _measure(
+    seed: int, duration_s: float, port: int, engines: Sequence[FastEngine], pid: int
+) -> list[Measurement]:
+    path = "/environments/bench/production/v1/completions"
+    through = [(port, path)]
+    direct = [(engine.port, "/v1/completions") for engine in engines]
+    await asyncio.gather(*(_ask(through, number) for number in range(_WARM_UP_REQUESTS)))
+    figures = []
+    for variant, targets in (("direct", direct), ("daemon", through)):
+        cpu_s, started_s = _cpu_s(pid), time.monotonic()
+        results = await _load(Random(seed), targets, duration_s)
+        wall_s = time.monotonic() - started_s
+        figures += _figures(variant, results, duration_s)
+        if variant == "daemon":
+            share = (_cpu_s(pid) - cpu_s) / wall_s
+            figures.append(_figure("daemon_processor", variant, share, "cores", Better.LOWER))
+    return figures
+
+
+async def _load(
+    rng: Random, targets: Sequence[tuple[int, str]], duration_s: float
+) -> list[StreamResult]:
+    """Send at the target rate, evenly spaced, and return what came."""
+    started_s = time.monotonic()
+    tasks = []
+    for number in range(int(_RATE_PER_S * duration_s)):
+        wait_s = started_s + number / _RATE_PER_S - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        tasks.append(asyncio.ensure_future(_ask([rng.choice(targets)], number)))
+    return await asyncio.gather(*tasks)
+
+
+async def _ask(targets: Sequence[tuple[int, str]], number: int) -> StreamResult:
+    port, path = targets[0]
+    body = msgspec.json.encode(
+        {
+            "model": "tuner",
+            "prompt": f"prompt {number}",
+            "max_tokens": _TOKENS,
+            "stream": True,
+            "attempt_id": f"a{number}",
+        }
     )
+    return await stream_completion(port, path, body, _CALLER_TOKEN)
+
+
+def _figures(variant: str, results: Sequence[StreamResult], duration_s: float) -> list[Measurement]:
+    whole = [item for item in results if item.whole and item.tokens == _TOKENS]
+    span_s = max(item.ended_at_s for item in results) - min(item.asked_at_s for item in results)
+    # The last request begins at the end of the load, so the mean rate is over the time between
+    # the first start and the last end less one answer.
+    answer_s = statistics.median(item.ended_at_s - item.asked_at_s for item in results)
+    busy_s = max(duration_s, span_s - answer_s)
+    first_s = [item.first_at_s - item.asked_at_s for item in whole]
+    total_s = [item.ended_at_s - item.asked_at_s for item in whole]
+    daemon = variant == "daemon"
+    return [
+        _figure(
+            "requests",
+            variant,
+            len(whole) / busy_s,
+            "requests/s",
+            Better.HIGHER,
+            bound=_RATE_PER_S * 0.98 if daemon else None,
+        ),
+        _figure(
+            "tokens",
+            variant,
+            sum(item.tokens for item in whole) / busy_s,
+            "tokens/s",
+            Better.HIGHER,
+            bound=_RATE_PER_S * _TOKENS * 0.98 if daemon else None,
+        ),
+        _figure("whole_answers", variant, len(whole) / len(results), "fraction", Better.HIGHER),
+        _figure("first_token_p50", variant, statistics.median(first_s), "s", Better.LOWER),
+        _figure("whole_answer_p50", variant, statistics.median(total_s), "s", Better.LOWER),
+    ]
+
+
+def _cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS_PER_S
+
+
+async def _until_ready(port: int) -> None:
+    ends_at_s = time.monotonic() + _READY_TIMEOUT_S
+    while not await is_ready(port):
+        if time.monotonic() > ends_at_s:
+            raise TimeoutError(f"the daemon on port {port} did not become ready")
+        await asyncio.sleep(0.1)
+    async with httpx.AsyncClient(trust_env=False) as operator:
+        answer = await operator.put(
+            f"http://127.0.0.1:{port}/operators/v1/environments/bench/production",
+            content=_document(),
+            headers={"authorization": f"Bearer {_OPERATOR_TOKEN}"},
+        )
+        answer.raise_for_status()
+    await asyncio.sleep(_SETTLE_S)
 
 
-class _Rig:
-    """One engine, one daemon and the platform, each behind its HTTP server on loopback."""
-
-    def __init__(self, seed: int) -> None:
-        clock, rng = SystemClock(), Random(seed)
-        profile = EngineProfile(max_running=64, tick_s=0.001, tokens_per_tick=1)
-        self._engine = StandinEngine("engine-0", {"tuner": 0}, clock, rng, profile=profile)
-        self._table = StandinTable(clock, rng)
-        self._objects = StandinObjects(clock, rng)
-        self._hosts = StandinHostList(clock, lag_s=0.0)
-        self._servers: list[HttpServer] = []
-        self._client = httpx.AsyncClient(
-            timeout=30.0, trust_env=False, headers={"authorization": f"Bearer {_TOKEN}"}
-        )
-        self._seeds = [
-            number for number in range(2000) if natural_length(_PROMPT, number) >= max(_LENGTHS)
-        ]
-
-    async def start(self) -> None:
-        """Start everything and accept the document."""
-        self._engine_url = f"http://{await self._serve(engine_app(self._engine))}"
-        platform = platform_app(self._table, self._objects, self._hosts, StandinWeights())
-        platform_address = await self._serve(platform)
-        self._hosts.add(
+async def _platform(seed: int, engines: Sequence[FastEngine]) -> HttpServer:
+    clock, rng = SystemClock(), Random(seed)
+    table, objects = StandinTable(clock, rng), StandinObjects(clock, rng)
+    hosts, weights = StandinHostList(clock, lag_s=0.0), StandinWeights()
+    for engine in engines:
+        hosts.add(
             HostEntry(
-                host_id="engine-0",
+                host_id=engine.server_id,
                 role=HostRole.ENGINE,
                 group="tuning",
-                address=self._engine_url.removeprefix("http://"),
-                location=_LOCATION,
+                address=f"127.0.0.1:{engine.port}",
+                location=Location(zone="bangkok-a", region="bangkok"),
             ),
             at_once=True,
         )
-        settings = DaemonSettings(
-            daemon_id="daemon-0",
-            zone=_LOCATION.zone,
-            region=_LOCATION.region,
-            listen="127.0.0.1:0",
-            peer_listen="127.0.0.1:0",
-            peer_key="bench-peer-key-0123456789",
-            platform_url=f"http://{platform_address}",
-            operator_token_sha256=digest_hex(b"operator"),
-            unready_grace_s=0.0,
-        )
-        self._daemon = Daemon(settings, connect_outside(settings))
-        await self._daemon.start()
-        document = parse_document(_document())
-        await self._daemon.core.configuration.accept(document, Stage.PRODUCTION)
-        await asyncio.sleep(1.0)
-
-    async def stop(self) -> None:
-        """Stop everything."""
-        await self._client.aclose()
-        await self._daemon.kill()
-        await self._engine.stop()
-        for server in self._servers:
-            await server.kill()
-
-    async def ask_engine(self, number: int, tokens: int) -> None:
-        """Stream a generation from the engine itself."""
-        attempt = GenerationAttempt(
-            attempt_id=f"a{number}-{tokens}",
-            request_id=f"r{number}",
-            model="tuner",
-            prompt=_PROMPT,
-            max_tokens=tokens,
-            seed=self._seeds[number % len(self._seeds)],
-        )
-        await self._read(f"{self._engine_url}/v1/completions", msgspec.json.encode(attempt))
-
-    async def ask_daemon(self, number: int, tokens: int) -> None:
-        """Stream the same generation through the daemon."""
-        body = {
-            "model": "tuner",
-            "prompt": _PROMPT,
-            "max_tokens": tokens,
-            "seed": self._seeds[number % len(self._seeds)],
-            "stream": True,
-        }
-        url = f"http://{self._daemon.address}/environments/bench/production/v1/completions"
-        await self._read(url, json.dumps(body).encode())
+    server = HttpServer(platform_app(table, objects, hosts, weights), "127.0.0.1", 0)
+    await server.start()
+    return server
 
-    async def _read(self, url: str, body: bytes) -> None:
-        async with self._client.stream("POST", url, content=body) as response:
-            lines = [line async for line in response.aiter_lines()]
-        if response.status_code != httpx.codes.OK or "data: [DONE]" not in lines:
-            raise RuntimeError(f"{url}: {response.status_code} {lines[-1:]}")
 
-    async def _serve(self, app: object) -> str:
-        server = HttpServer(app, "127.0.0.1", 0)
-        await server.start()
-        self._servers.append(server)
-        return server.address
+def _document() -> str:
+    return f"""
+    {{
+      "environment": "bench",
+      "pools": [{{"name": "tuning"}}],
+      "models": [{{"name": "tuner", "pool": "tuning"}}],
+      "callers": [
+        {{"name": "desk", "kind": "application", "models": ["tuner"], "rate_per_s": 100000,
+         "max_concurrency": 100000, "token_sha256": "{digest_hex(_CALLER_TOKEN.encode())}"}}
+      ]
+    }}
+    """
+
+
+def _settings(port: int, platform: str) -> str:
+    settings = {
+        "daemon_id": "daemon-0",
+        "zone": "bangkok-a",
+        "region": "bangkok",
+        "listen": f"127.0.0.1:{port}",
+        "peer_listen": "127.0.0.1:0",
+        "peer_key": "bench-peer-key-0123456789",
+        "platform_url": f"http://{platform}",
+        "operator_token_sha256": digest_hex(_OPERATOR_TOKEN.encode()),
+    }
+    return msgspec.json.encode(settings).decode()
 
 
-def _document() -> str:
-    return json.dumps(
-        {
-            "environment": "bench",
-            "pools": [{"name": "tuning"}],
-            "models": [{"name": "tuner", "pool": "tuning"}],
-            "callers": [
-                {
-                    "name": "desk",
-                    "kind": "application",
-                    "token_sha256": digest_hex(_TOKEN.encode()),
-                    "models": ["tuner"],
-                    "rate_per_s": 1e9,
-                }
-            ],
-        }
+def _figure(
+    figure: str,
+    variant: str,
+    value: float,
+    unit: str,
+    better: Better,
+    *,
+    bound: float | None = None,
+) -> Measurement:
+    return Measurement(
+        bench=_BENCH,
+        figure=figure,
+        variant=variant,
+        value=value,
+        unit=unit,
+        better=better,
+        baseline_variant="direct" if variant == "daemon" else None,
+        bound=bound,
+        bound_source=_TARGET if bound is not None else "",
     )
+
+
+if __name__ == "__main__":
+    for item in run(1, True):
+        print(f"{item.figure:20} {item.variant:8} {item.value:12.4f} {item.unit}")
