--- a/src/verbenawind/api/completion_answers.py
+++ b/src/verbenawind/api/completion_answers.py
@@ -1,6 +1,7 @@
 """The answers that OpenAI-compatible clients expect, whole and as streams."""
 
 from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -114,15 +115,16 @@
     """
     started = False
     try:
-        async for piece in answer_text(events, stops):
-            if not started and (opening := form.first_chunk()) is not None:
-                yield opening
-            started = True
-            if not isinstance(piece, str):
-                yield form.last_chunks(*piece)
-                return
-            if piece:
-                yield form.token_chunk(piece)
+        async with aclosing(answer_text(events, stops)) as pieces:
+            async for piece in pieces:
+                if not started and (opening := form.first_chunk()) is not None:
+                    yield opening
+                started = True
+                if not isinstance(piece, str):
+                    yield form.last_chunks(*piece)
+                    return
+                if piece:
+                    yield form.token_chunk(piece)
         raise StreamTruncated("the generation ended without its end mark")
     except VerbenawindError as error:
         if not started:
