--- a/src/verbenawind/routing/runs.py
+++ b/src/verbenawind/routing/runs.py
@@ -142,7 +142,12 @@
 
     async def _attempt(self, run: Run, pool: EnginePool) -> AsyncGenerator[EngineEvent, None]:
         ticket = self._ticket(run)
-        choice = await pool.queue.acquire(ticket)
+        try:
+            choice = await pool.queue.acquire(ticket)
+        except VerbenawindError as error:
+            # The queue does not know of attempts before this one.
+            error.outcome = run.outcome()
+            raise
         started_s = self._clock.monotonic_s()
         server_id = choice.server_id
         assert server_id is not None
--- a/tests/fuzz/test_found.py
+++ b/tests/fuzz/test_found.py
@@ -1,6 +1,7 @@
 """Short forms of the failures that fuzzing found."""
 
 from fuzz.scenes import DOCUMENT, scene, step_of
+from verbenawind.standins.engine import CRASH_MARK
 from verbenawind.standins.scene import with_weights
 from verbenawind.standins.world import run_virtual
 
@@ -20,3 +21,19 @@
             await made.stop()
 
         run_virtual(scenario())
+
+    def test_refusal_after_a_crash_does_not_say_not_run(self) -> None:
+        """A request that reached an engine and then finds no server may have run."""
+
+        async def scenario() -> None:
+            made = scene(1)
+            await made.start()
+            made.leave("engine-1")
+            made.leave("engine-2")
+            made.leave("engine-3")
+            await made.clock.sleep(6.0)
+            assert not await made.ask(0, f"a die {CRASH_MARK}")
+            made.check()
+            await made.stop()
+
+        run_virtual(scenario())
