--- a/src/verbenawind/api/completion_answers.py
+++ b/src/verbenawind/api/completion_answers.py
@@ -1,5 +1,6 @@
 """The answers that OpenAI-compatible clients expect, whole and as streams."""
 
+import contextlib
 from collections.abc import AsyncGenerator, Callable
 from typing import Any
 
@@ -91,11 +92,12 @@
     """Return the body of a whole answer; raises what the generation raises."""
     pieces = []
     ended: tuple[str, int] | None = None
-    async for piece in answer_text(events, stops):
-        if isinstance(piece, str):
-            pieces.append(piece)
-        else:
-            ended = piece
+    async with contextlib.aclosing(answer_text(events, stops)) as parts:
+        async for part in parts:
+            if isinstance(part, str):
+                pieces.append(part)
+            else:
+                ended = part
     if ended is None:
         raise StreamTruncated("the generation ended without its end mark")
     return form.whole("".join(pieces), *ended)
@@ -114,23 +116,22 @@
     """
     started = False
     try:
-        async for piece in answer_text(events, stops):
-            if not started and (opening := form.first_chunk()) is not None:
-                yield opening
-            started = True
-            if not isinstance(piece, str):
-                yield form.last_chunks(*piece)
-                return
-            if piece:
-                yield form.token_chunk(piece)
+        async with contextlib.aclosing(answer_text(events, stops)) as pieces:
+            async for piece in pieces:
+                if not started and (opening := form.first_chunk()) is not None:
+                    yield opening
+                started = True
+                if not isinstance(piece, str):
+                    yield form.last_chunks(*piece)
+                    return
+                if piece:
+                    yield form.token_chunk(piece)
         raise StreamTruncated("the generation ended without its end mark")
     except VerbenawindError as error:
         if not started:
             raise
         on_failure(error)
         yield _error_event(error)
-    finally:
-        await events.aclose()
 
 
 async def answer_text(
--- a/src/verbenawind/api/operators.py
+++ b/src/verbenawind/api/operators.py
@@ -4,6 +4,7 @@
 
 from litestar import Request, Response, get, post, put
 
+from verbenawind.adapter_names import known_adapters
 from verbenawind.api.errors import store_write_is_the_request
 from verbenawind.api.replies import json_response
 from verbenawind.api.services import ApiServices, operator_services
@@ -152,7 +153,7 @@
         text = (await request.body()).decode()
     except UnicodeDecodeError as error:
         raise InvalidRequest(f"body: not UTF-8: {error}") from error
-    document = parse_document(text)
+    document = parse_document(text, known_adapters())
     if document.environment != environment:
         raise InvalidRequest(f"the document is of {document.environment!r}, not {environment!r}")
     return document
--- a/src/verbenawind/cli/documents.py
+++ b/src/verbenawind/cli/documents.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from verbenawind.adapter_names import known_adapters
 from verbenawind.cli.client import CommandFailed
 from verbenawind.cli.commands import Invocation, Result, command
 from verbenawind.cli.exit_codes import ExitCode
@@ -108,7 +109,7 @@
     except (OSError, UnicodeDecodeError) as error:
         raise CommandFailed(ExitCode.USAGE, f"{path}: {error}") from error
     try:
-        return parse_document(text), text
+        return parse_document(text, known_adapters()), text
     except DocumentInvalid as error:
         count = len(error.faults)
         raise CommandFailed(
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 from functools import partial
 from random import Random
 
@@ -9,10 +10,11 @@
 from absl import app as absl_app
 from absl import flags
 
+from verbenawind.adapter_names import AdapterNames
 from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
 from verbenawind.decisions import DecisionRecord, record_decisions_in
-from verbenawind.errors import StoreUnavailable
+from verbenawind.errors import SettingsInvalid, StoreUnavailable
 from verbenawind.http_server import HttpServer
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import Location
@@ -36,6 +38,7 @@
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
+_EXIT_SETTINGS_INVALID = 2
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
 
 
@@ -131,6 +134,8 @@
 
     async def start(self) -> None:
         """Begin working; the daemon is ready once it has a view of the configuration."""
+        if self.outside.on_revision is not None:
+            self.configuration.subscribe(self.outside.on_revision)
         self.configuration.subscribe(self.rollouts.apply)
         await self.peers.start()
         await self._refresh_configuration()
@@ -243,6 +248,7 @@
 def connect_outside(settings: DaemonSettings) -> Outside:
     """Return the adapters to everything outside, as the settings name them."""
     url = settings.platform_url
+    adapters = AdapterNames()
     return Outside(
         clock=SystemClock(),
         rng=Random(),
@@ -252,6 +258,7 @@
         weights=HttpWeightStore(url),
         clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
+        on_revision=adapters.apply,
     )
 
 
@@ -268,7 +275,11 @@
 
 
 def _main(_: list[str]) -> None:
-    settings = load_settings(_SETTINGS.value)
+    try:
+        settings = load_settings(_SETTINGS.value)
+    except SettingsInvalid as error:
+        print(f"verbenawindd: {error.message}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS_INVALID)
     configure_logs(settings.log_level, daemon_id=settings.daemon_id)
     asyncio.run(serve(settings))
 
--- a/src/verbenawind/document/__init__.py
+++ b/src/verbenawind/document/__init__.py
@@ -2,6 +2,7 @@
 
 from verbenawind.document.difference import Change, document_difference
 from verbenawind.document.loading import canonical_bytes, document_digest, parse_document
+from verbenawind.document.references import KnownAdapters
 from verbenawind.document.types import (
     CallerKind,
     CallerSpec,
@@ -28,6 +29,7 @@
     "Delivery",
     "EnvironmentDocument",
     "EnvironmentRevision",
+    "KnownAdapters",
     "ModelSpec",
     "PoolSpec",
     "RouteSpec",
--- a/src/verbenawind/document/loading.py
+++ b/src/verbenawind/document/loading.py
@@ -2,39 +2,71 @@
 
 import types
 import typing
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator
 from typing import Any
 
 import jsonc
 import msgspec
 
+from verbenawind.document.references import KnownAdapters, adapter_faults, reference_faults
 from verbenawind.document.types import EnvironmentDocument
 from verbenawind.errors import DocumentInvalid
 from verbenawind.ids import digest_hex
 
-__all__ = ["canonical_bytes", "convert_all", "document_digest", "parse_document"]
+__all__ = [
+    "canonical_bytes",
+    "convert_all",
+    "document_digest",
+    "parse_document",
+    "read_json",
+]
 
 
-def parse_document(text: str) -> EnvironmentDocument:
+def parse_document(text: str, adapters: KnownAdapters | None = None) -> EnvironmentDocument:
     """Return the checked document in *text*, JSON with comments.
 
+    Args:
+        text: The document.
+        adapters: The names of adapters that it may use; not checked when None.
+
     Raises:
         DocumentInvalid: The text is no JSON or has faults; all of them are listed.
     """
-    try:
-        raw = jsonc.loads(text)
-    except ValueError as error:
-        raise DocumentInvalid([f"$: not JSON with comments: {error}"]) from error
-    faults = list(convert_all(raw, EnvironmentDocument, "$"))
+    raw, faults = read_json(text)
+    if raw is not None:
+        faults += convert_all(raw, EnvironmentDocument, "$")
     if faults:
         raise DocumentInvalid(faults)
     document = msgspec.convert(raw, EnvironmentDocument)
-    faults = list(_reference_faults(document))
+    faults = [*reference_faults(document), *adapter_faults(document, adapters)]
     if faults:
         raise DocumentInvalid(faults)
     return document
 
 
+def read_json(text: str) -> tuple[Any, list[str]]:
+    """Return the value in *text*, JSON with comments, and what is wrong with its form."""
+    faults: list[str] = []
+
+    def members(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        names = [name for name, _ in pairs]
+        faults.extend(
+            f"$: field {name!r} stands {names.count(name)} times in one object"
+            for name in dict.fromkeys(names)
+            if names.count(name) > 1
+        )
+        return dict(pairs)
+
+    try:
+        return jsonc.loads(text, object_pairs_hook=members, parse_constant=_refuse_constant), faults
+    except (ValueError, RecursionError) as error:
+        return None, [f"$: not JSON with comments: {error}"]
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f"{name} is no number")
+
+
 def canonical_bytes(document: EnvironmentDocument) -> bytes:
     """Return the document's canonical JSON, in which every default is spelled out."""
     return msgspec.json.encode(document, order="deterministic")
@@ -47,6 +79,8 @@
 
 def convert_all(raw: Any, kind: Any, path: str) -> Iterator[str]:
     """Yield every fault that keeps *raw* from being a *kind*, with path and value."""
+    while typing.get_origin(kind) is typing.Annotated and _has_parts(typing.get_args(kind)[0]):
+        kind = typing.get_args(kind)[0]
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
         yield from _struct_faults(raw, kind, path)
         return
@@ -63,6 +97,11 @@
         yield f"{path}: {error} (value {_shown(raw)})"
 
 
+def _has_parts(kind: Any) -> bool:
+    is_struct = isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+    return is_struct or typing.get_origin(kind) is tuple
+
+
 def _struct_faults(raw: Any, kind: type[msgspec.Struct], path: str) -> Iterator[str]:
     if not isinstance(raw, dict):
         yield f"{path}: expected an object (value {_shown(raw)})"
@@ -81,38 +120,3 @@
 def _shown(raw: Any) -> str:
     text = msgspec.json.encode(raw).decode()
     return text if len(text) <= 80 else text[:77] + "..."
-
-
-def _reference_faults(document: EnvironmentDocument) -> Iterator[str]:
-    pools = {pool.name for pool in document.pools}
-    models = {model.name for model in document.models}
-    callers = {caller.name for caller in document.callers}
-    scoring = {service.name for service in document.scoring_services}
-    services = {service.name for service in document.services}
-    for part in ("pools", "models", "callers", "trainers", "scoring_services", "services"):
-        yield from _duplicate_faults(part, [item.name for item in getattr(document, part)])
-    for index, model in enumerate(document.models):
-        yield from _missing(f"$.models[{index}].pool", "pool", [model.pool], pools)
-    for index, caller in enumerate(document.callers):
-        yield from _missing(f"$.callers[{index}].models", "model", caller.models, models)
-        yield from _missing(f"$.callers[{index}].services", "service", caller.services, services)
-    for index, trainer in enumerate(document.trainers):
-        path = f"$.trainers[{index}]"
-        yield from _missing(f"{path}.caller", "caller", [trainer.caller], callers)
-        yield from _missing(f"{path}.model", "model", [trainer.model], models)
-        wanted = [trainer.scoring_service] if trainer.scoring_service else []
-        yield from _missing(f"{path}.scoring_service", "scoring service", wanted, scoring)
-
-
-def _missing(path: str, what: str, names: Iterable[str], known: set[str]) -> Iterator[str]:
-    for name in names:
-        if name not in known:
-            yield f"{path}: no {what} is called {name!r}"
-
-
-def _duplicate_faults(part: str, names: Sequence[str]) -> Iterator[str]:
-    seen: set[str] = set()
-    for index, name in enumerate(names):
-        if name in seen:
-            yield f"$.{part}[{index}].name: {name!r} stands twice"
-        seen.add(name)
--- a/src/verbenawind/kernel/ports.py
+++ b/src/verbenawind/kernel/ports.py
@@ -260,9 +260,20 @@
         weights: The platform's weight store.
         clients: Clients of backend servers.
         transport: Links between daemons.
+        on_revision: Told of each revision that comes into force.
     """
 
-    __slots__ = ("clients", "clock", "hosts", "objects", "rng", "table", "transport", "weights")
+    __slots__ = (
+        "clients",
+        "clock",
+        "hosts",
+        "objects",
+        "on_revision",
+        "rng",
+        "table",
+        "transport",
+        "weights",
+    )
 
     def __init__(
         self,
@@ -275,6 +286,7 @@
         weights: WeightStore,
         clients: BackendClients,
         transport: PeerTransport,
+        on_revision: Callable[[EnvironmentRevision], None] | None = None,
     ) -> None:
         self.clock = clock
         self.rng = rng
@@ -284,6 +296,7 @@
         self.weights = weights
         self.clients = clients
         self.transport = transport
+        self.on_revision = on_revision
 
 
 # Between the folders.
--- /dev/null
+++ b/tests/programs/processes.py
@@ -0,0 +1,192 @@
+"""Starts the two programs as real processes before stand-ins that the test process serves."""
+
+import asyncio
+import json
+import os
+import sys
+from collections import deque
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from typing import TypeVar
+
+from litestar import Litestar
+
+from loopback import DOCUMENT_TEXT, OPERATOR_TOKEN
+from verbenawind.clock import SystemClock
+from verbenawind.http_server import HttpServer
+from verbenawind.ids import digest_hex
+from verbenawind.kernel.messages import HostEntry, HostRole, Location
+from verbenawind.standins.engine import EngineProfile, StandinEngine
+from verbenawind.standins.http import engine_app, platform_app, service_app
+from verbenawind.standins.platform import (
+    StandinHostList,
+    StandinObjects,
+    StandinTable,
+    StandinWeights,
+)
+from verbenawind.standins.services import StandinService
+
+TEST_TIMEOUT_S = 40.0
+_SOURCES = Path(__file__).resolve().parents[2] / "src"
+_KEPT_LINES = 200
+
+T = TypeVar("T")
+
+
+class Stage:
+    """The stand-ins, and the processes started before them."""
+
+    def __init__(self, directory: Path, profile: EngineProfile | None) -> None:
+        clock, rng = SystemClock(), Random(1)
+        self.directory = directory
+        self.hosts = StandinHostList(clock, lag_s=0.0)
+        self.table = StandinTable(clock, rng)
+        self.objects = StandinObjects(clock, rng)
+        self.engine = StandinEngine("engine-0", {"tuner": 0}, clock, rng, profile=profile)
+        self.service = StandinService("cards-0", clock)
+        self.daemons: list[DaemonProcess] = []
+        self._servers: list[HttpServer] = []
+        self._platform_address = ""
+
+    async def start(self) -> None:
+        """Serve the stand-ins."""
+        apps = platform_app(self.table, self.objects, self.hosts, StandinWeights())
+        self._platform_address = await self._serve(apps)
+        engine_address = await self._serve(engine_app(self.engine))
+        service_address = await self._serve(service_app(self.service))
+        self._list("engine-0", HostRole.ENGINE, "tuning", engine_address)
+        self._list("cards-0", HostRole.SERVICE, "job-cards", service_address)
+
+    async def daemon(self, daemon_id: str = "daemon-0") -> "DaemonProcess":
+        """Start a daemon and wait until it serves."""
+        settings = {
+            "daemon_id": daemon_id,
+            "zone": "bangkok-a",
+            "region": "bangkok",
+            "listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+            "peer_key": "process-test-peer-key",
+            "platform_url": f"http://{self._platform_address}",
+            "operator_token_sha256": digest_hex(OPERATOR_TOKEN.encode()),
+            "unready_grace_s": 0.2,
+        }
+        path = self.directory / f"{daemon_id}.jsonc"
+        path.write_text(json.dumps(settings) + "  // settings of one daemon\n")
+        daemon = DaemonProcess(await start_python("verbenawind.daemon", f"--settings={path}"))
+        self.daemons.append(daemon)
+        await daemon.wait_until_serving()
+        return daemon
+
+    async def command(self, daemon: "DaemonProcess", *words: str) -> tuple[int, str, str]:
+        """Run the command line to its end; return exit code, standard output and error."""
+        process = await start_python("verbenawind.cli", *words, f"--server={daemon.url}")
+        out, err = await process.communicate()
+        return process.returncode or 0, out.decode(), err.decode()
+
+    def document(self, text: str = DOCUMENT_TEXT) -> str:
+        """Write a document and return its path."""
+        path = self.directory / "document.jsonc"
+        path.write_text(text)
+        return str(path)
+
+    async def stop(self) -> None:
+        """Kill what still runs."""
+        for daemon in self.daemons:
+            await daemon.kill()
+        await self.engine.stop()
+        for server in self._servers:
+            await server.kill()
+
+    async def _serve(self, app: Litestar) -> str:
+        server = HttpServer(app, "127.0.0.1", 0)
+        await server.start()
+        self._servers.append(server)
+        return server.address
+
+    def _list(self, host_id: str, role: HostRole, group: str, address: str) -> None:
+        location = Location(zone="bangkok-a", region="bangkok")
+        entry = HostEntry(
+            host_id=host_id, role=role, group=group, address=address, location=location
+        )
+        self.hosts.add(entry, at_once=True)
+
+
+class DaemonProcess:
+    """One running daemon; its log is read all the time."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+        self.lines: deque[str] = deque(maxlen=_KEPT_LINES)
+        self._address: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._reading = asyncio.get_running_loop().create_task(self._read())
+
+    @property
+    def url(self) -> str:
+        """The daemon's base URL."""
+        return f"http://{self._address.result()}"
+
+    @property
+    def v1(self) -> str:
+        """The URL of the callers' interface."""
+        return f"{self.url}/environments/siam-fold/production/v1"
+
+    async def wait_until_serving(self) -> None:
+        """Wait for the log line that names the bound address."""
+        await asyncio.wait((self._address, self._reading), return_when=asyncio.FIRST_COMPLETED)
+        assert self._address.done(), "\n".join(self.lines)
+
+    async def exit_code(self) -> int:
+        """Return the exit code once the process has ended."""
+        code = await self.process.wait()
+        await self._reading
+        return code
+
+    async def kill(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._reading
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        async for raw in self.process.stderr:
+            line = raw.decode(errors="replace").rstrip()
+            self.lines.append(line)
+            if '"serving"' in line and not self._address.done():
+                self._address.set_result(json.loads(line)["address"])
+
+
+async def start_python(module: str, *arguments: str) -> asyncio.subprocess.Process:
+    """Start a module of the package as a process."""
+    environment = os.environ | {"PYTHONPATH": str(_SOURCES), "VERBENAWIND_TOKEN": OPERATOR_TOKEN}
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        *arguments,
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+def run_stage(
+    directory: Path,
+    scenario: Callable[[Stage], Awaitable[T]],
+    *,
+    profile: EngineProfile | None = None,
+) -> T:
+    """Run *scenario* on started stand-ins, bounded in time."""
+
+    async def whole() -> T:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            stage = Stage(directory, profile)
+            await stage.start()
+            try:
+                return await scenario(stage)
+            finally:
+                await stage.stop()
+
+    return asyncio.run(whole())
