--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -114,9 +114,12 @@
             fleet=self.fleet,
             clients=outside.clients,
             table=self.table,
+            store=outside.weights,
             leases=self.leases,
+            peers=self.peers,
             configuration=self.configuration,
             clock=clock,
+            rng=rng,
         )
         self.metrics.on_render(self._collect)
         self._ready = False
@@ -149,6 +152,7 @@
         self.ready = False
         await self.rollouts.stop()
         await self._cancel_tasks()
+        await self.weights.stop()
         await self.leases.stop()
         await self.peers.stop()
 
@@ -156,6 +160,7 @@
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        self.weights.abandon()
         await self.peers.kill()
         await self.rollouts.kill()
         await self._cancel_tasks()
--- a/src/verbenawind/document/__init__.py
+++ b/src/verbenawind/document/__init__.py
@@ -19,6 +19,7 @@
     StalenessSpec,
     SwapPolicy,
     TrainerSpec,
+    WeightsSpec,
 )
 
 __all__ = [
@@ -39,6 +40,7 @@
     "StalenessSpec",
     "SwapPolicy",
     "TrainerSpec",
+    "WeightsSpec",
     "canonical_bytes",
     "document_difference",
     "document_digest",
--- a/src/verbenawind/document/types.py
+++ b/src/verbenawind/document/types.py
@@ -23,6 +23,7 @@
     "StalenessSpec",
     "SwapPolicy",
     "TrainerSpec",
+    "WeightsSpec",
 ]
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
@@ -240,6 +241,22 @@
     ] = 0.001
 
 
+class WeightsSpec(_Spec, frozen=True, kw_only=True):
+    """How new weights reach the engines.
+
+    ``staging_bytes_per_s`` is an availability zone's share of the weight store's rate. Staged
+    weights are activated ``activation_delay_s`` after their publication at the earliest, so that
+    engines which take long to stage change at the same time as the others.
+    """
+
+    staging_bytes_per_s: Annotated[
+        Positive, Meta(description="Bytes per second that a zone's engines stage together.")
+    ] = 1e9
+    activation_delay_s: Annotated[
+        NonNegative, Meta(description="Time from publication to activation, at least, in seconds.")
+    ] = 0.0
+
+
 class EnvironmentDocument(_Spec, frozen=True, kw_only=True):
     """Everything that operators say of one environment."""
 
@@ -264,6 +281,9 @@
     cross_region: Annotated[
         CrossRegionSpec, Meta(description="When a request may go to another region.")
     ] = CrossRegionSpec()
+    weights: Annotated[WeightsSpec, Meta(description="How new weights reach the engines.")] = (
+        WeightsSpec()
+    )
     trainer_idle_weight: Annotated[
         NonNegative, Meta(description="How much a trainer's idle time counts against staleness.")
     ] = 1.0
