--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -10,7 +10,6 @@
 from absl import app as absl_app
 from absl import flags
 
-from verbenawind.adapter_names import AdapterNames
 from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
 from verbenawind.decisions import DecisionRecord, record_decisions_in
@@ -137,8 +136,6 @@
 
     async def start(self) -> None:
         """Begin working; the daemon is ready once it has a view of the configuration."""
-        if self.outside.on_revision is not None:
-            self.configuration.subscribe(self.outside.on_revision)
         self.configuration.subscribe(self.rollouts.apply)
         await self.peers.start()
         await self._refresh_configuration()
@@ -253,7 +250,6 @@
 def connect_outside(settings: DaemonSettings) -> Outside:
     """Return the adapters to everything outside, as the settings name them."""
     url = settings.platform_url
-    adapters = AdapterNames()
     return Outside(
         clock=SystemClock(),
         rng=Random(),
@@ -263,7 +259,6 @@
         weights=HttpWeightStore(url),
         clients=PluginBackendClients(),
         transport=WebSocketPeerTransport(),
-        on_revision=adapters.apply,
     )
 
 
--- a/src/verbenawind/kernel/ports.py
+++ b/src/verbenawind/kernel/ports.py
@@ -260,7 +260,6 @@
         weights: The platform's weight store.
         clients: Clients of backend servers.
         transport: Links between daemons.
-        on_revision: Told of each revision that comes into force.
     """
 
     __slots__ = (
@@ -268,7 +267,6 @@
         "clock",
         "hosts",
         "objects",
-        "on_revision",
         "rng",
         "table",
         "transport",
@@ -286,7 +284,6 @@
         weights: WeightStore,
         clients: BackendClients,
         transport: PeerTransport,
-        on_revision: Callable[[EnvironmentRevision], None] | None = None,
     ) -> None:
         self.clock = clock
         self.rng = rng
@@ -296,7 +293,6 @@
         self.weights = weights
         self.clients = clients
         self.transport = transport
-        self.on_revision = on_revision
 
 
 # Between the folders.
