--- a/src/verbenawind/kernel/ports.py
+++ b/src/verbenawind/kernel/ports.py
@@ -262,16 +262,7 @@
         transport: Links between daemons.
     """
 
-    __slots__ = (
-        "clients",
-        "clock",
-        "hosts",
-        "objects",
-        "rng",
-        "table",
-        "transport",
-        "weights",
-    )
+    __slots__ = ("clients", "clock", "hosts", "objects", "rng", "table", "transport", "weights")
 
     def __init__(
         self,
