Answer connections over the limit in JSON; let polls return at once on shutdown

Cause: the server's own refusal was plain text, and a graceful stop waited for the whole wait_s of every long poll while step holders went on. Change: the protocol refuses over-limit connections itself; the rollouts drain while the server does.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -237,7 +237,7 @@
         self.core.ready = False
         await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
         self._guard.draining = True
-        await self._server.stop()
+        await asyncio.gather(self._server.stop(), self.core.rollouts.stop())
         await self.core.dispatcher.drain()
         await self.core.stop()
 
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -29,16 +29,21 @@
 
 
 class _Protocol(H11Protocol):
-    """Answers malformed input in JSON and closes connections whose request head is slow."""
+    """Limits connections, closes those whose request head is slow, and answers in JSON."""
 
-    def __init__(self, *args: Any, header_timeout_s: float, **kwargs: Any) -> None:
+    def __init__(
+        self, *args: Any, header_timeout_s: float, max_connections: int | None, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._max_connections = max_connections
         self._header_timeout_s = header_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Give the first request head its time."""
+        """Give the first request head its time; refuse what comes beyond the limit."""
         super().connection_made(transport)  # type: ignore[arg-type]
+        if self._max_connections is not None and len(self.connections) > self._max_connections:
+            self.app = _refuse_connection
         self._head_timer = self.loop.call_later(self._header_timeout_s, self._head_is_late)
 
     def data_received(self, data: bytes) -> None:
@@ -66,13 +71,7 @@
             self._answer(408, "request_timeout", f"no whole request head within {limit_s} seconds")
 
     def _answer(self, status: int, code: str, message: str) -> None:
-        error = {
-            "message": message,
-            "code": code,
-            "type": "invalid_request_error",
-            "outcome": Outcome.NOT_RUN,
-        }
-        body = msgspec.json.encode({"error": error})
+        body = _error_body(code, "invalid_request_error", message)
         headers = [
             (b"content-type", b"application/json"),
             (b"content-length", str(len(body)).encode()),
@@ -93,6 +92,23 @@
             self._head_timer = None
 
 
+async def _refuse_connection(_scope: Any, _receive: Any, send: Any) -> None:
+    body = _error_body("overloaded", "server_error", "too many connections are open")
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+        (b"retry-after", b"1"),
+        (b"connection", b"close"),
+    ]
+    await send({"type": "http.response.start", "status": 503, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+def _error_body(code: str, kind: str, message: str) -> bytes:
+    error = {"message": message, "code": code, "type": kind, "outcome": Outcome.NOT_RUN}
+    return msgspec.json.encode({"error": error})
+
+
 class HttpServer:
     """One listening HTTP server.
 
@@ -121,13 +137,14 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=partial(_Protocol, header_timeout_s=header_timeout_s),  # type: ignore[arg-type]
+            http=partial(  # type: ignore[arg-type]
+                _Protocol, header_timeout_s=header_timeout_s, max_connections=max_connections
+            ),
             ws="none",
             lifespan="off",
             log_config=None,
             log_level="warning",
             access_log=False,
-            limit_concurrency=max_connections,
             h11_max_incomplete_event_size=32 * 1024,
             server_header=False,
             proxy_headers=False,
--- a/tests/api/test_limits.py
+++ b/tests/api/test_limits.py
@@ -186,6 +186,21 @@
 
         run_loopback(scenario, limits=LimitSettings(max_requests_in_flight=1))
 
+    def test_connections(self) -> None:
+        """A connection over the limit is answered 503 in JSON; one within it goes on."""
+
+        async def scenario(loopback: Loopback) -> None:
+            await loopback.accept()
+            async with loopback.client() as first:
+                assert (await first.get(f"{loopback.v1}/models")).status_code == 200
+                async with loopback.client() as second:
+                    refused = await second.get(f"{loopback.v1}/models")
+                    assert refused.status_code == 503
+                    assert refused.json()["error"]["outcome"] == "not_run"
+                assert (await first.get(f"{loopback.v1}/models")).status_code == 200
+
+        run_loopback(scenario, limits=LimitSettings(max_connections=1))
+
 
 class TestSlowInput:
     def test_trickling_body(self) -> None:
