--- a/src/verbenawind/membership/watching.py
+++ b/src/verbenawind/membership/watching.py
@@ -23,17 +23,19 @@
 _KIND_REMOTE = "engine-remote"
 _SUSPECT_KIND = "server-suspect"
 _WATCHERS_PER_ENGINE = 2
+_ENGINES_WATCHED_TWICE = 64
 _MAX_WATCHED = 64
 _MIN_PERIOD_S = 0.25
-_PERIOD_PER_ENGINE_S = 0.04
+_PERIOD_PER_ENGINE_S = 0.1
 _PROBE_TIMEOUT_S = 1.0
 _RECONCILE_PERIOD_S = 0.5
 _FAILURES_TO_SUSPECT = 2
 _SUSPECT_S = 6.0
 _SUSPECT_REFRESH_S = 3.0
-_LOAD_UPDATES_PER_S = 10.0
+_LOAD_UPDATES_PER_S = 4.0
 _MIN_LOAD_SPACING_S = 0.5
 _RANKS_KEPT = 16_384
+_SWAP_STATES = (SwapState.IDLE, SwapState.STAGING, SwapState.SWAPPING, SwapState.FAILED)
 
 
 class _Summary(msgspec.Struct, frozen=True, array_like=True):
@@ -44,7 +46,7 @@
     max_running: int
     leaving: bool
     fencing_number: int
-    models: tuple[tuple[str, int | None, tuple[int, ...], SwapState], ...]
+    models: tuple[tuple[str, int | None, tuple[int, ...], int], ...]
 
 
 class _Watched:
@@ -141,13 +143,16 @@
         zones = self._peers.roster.by_zone()
         everybody = [peer.peer_id for peer in self._peers.peers()]
         own_id, own_zone = self._peers.peer_id, self._fleet.location.zone
+        engines = self._engines()
+        near = sum(view.server.location.zone == own_zone for view in engines)
+        count = _WATCHERS_PER_ENGINE if near <= _ENGINES_WATCHED_TWICE else 1
         assigned = []
-        for view in self._engines():
+        for view in engines:
             zone, server_id = view.server.location.zone, view.server.server_id
             if not self._directory.cares_for(zone):
                 continue
             others = zones.get(zone, ()) if zone == own_zone else everybody
-            watchers = rendezvous(server_id, [*others, own_id], _WATCHERS_PER_ENGINE)
+            watchers = rendezvous(server_id, [*others, own_id], count)
             if own_id in watchers:
                 assigned.append((zone != own_zone, server_id))
         return [server_id for _, server_id in sorted(assigned)[:_MAX_WATCHED]]
@@ -277,9 +282,8 @@
     """Return what peers must know at once when it changes."""
     return (
         status.incarnation,
-        status.models,
+        tuple((model.model, model.active_version, model.swap_state) for model in status.models),
         status.leaving,
-        status.fencing_number,
         status.max_running,
     )
 
@@ -297,7 +301,12 @@
         leaving=status.leaving,
         fencing_number=status.fencing_number,
         models=tuple(
-            (model.model, model.active_version, model.staged_versions, model.swap_state)
+            (
+                model.model,
+                model.active_version,
+                model.staged_versions,
+                _SWAP_STATES.index(model.swap_state),
+            )
             for model in status.models
         ),
     )
@@ -310,7 +319,10 @@
         incarnation=item.rank[0],
         models=tuple(
             ModelStatus(
-                model=model, active_version=active, staged_versions=staged, swap_state=state
+                model=model,
+                active_version=active,
+                staged_versions=staged,
+                swap_state=_SWAP_STATES[state],
             )
             for model, active, staged, state in summary.models
         ),
--- a/src/verbenawind/settings.py
+++ b/src/verbenawind/settings.py
@@ -102,6 +102,9 @@
         NonNegativeFloat,
         Meta(description="For how long it still takes work once unready, in seconds."),
     ] = 1.0
+    trace_file: Annotated[
+        str, Meta(description="File that requests are recorded into; none when empty.")
+    ] = ""
     limits: Annotated[LimitSettings, Meta(description="Limits on what it takes in.")] = (
         LimitSettings()
     )
