--- a/src/verbenawind/api/fleet.py
+++ b/src/verbenawind/api/fleet.py
@@ -11,12 +11,10 @@
 from verbenawind.document import EnvironmentRevision
 from verbenawind.errors import PeerUnreachable, UnknownResource
 from verbenawind.kernel import ServerView
-from verbenawind.kernel.ports import SpreadItem
 
 __all__ = ["EXPLAIN_CALL", "HANDLERS", "answer_explain_call"]
 
 EXPLAIN_CALL = "explain"
-_LEAVING_ITEM = "leaving"
 _REVISION_ITEM = "revision-held"
 _BASE = "/operators/v1"
 _EXPLAIN_TIMEOUT_S = 2.0
@@ -45,16 +43,13 @@
 
 @post(_BASE + "/servers/{server_id:str}/drain", status_code=200, summary="Drain a backend server")
 async def drain(request: Request[Any, Any, Any], server_id: str) -> Response[bytes]:
-    """Send no new work to a backend server; this holds for its present incarnation."""
+    """Send no new work to a backend server, from any daemon, for its present incarnation."""
     services = operator_services(request)
     view = services.fleet.view(server_id)
     if view is None:
         raise UnknownResource(f"no backend server is called {server_id!r}")
     incarnation = view.server.incarnation
     services.fleet.mark_leaving(server_id, incarnation)
-    services.peers.spread(
-        SpreadItem(kind=_LEAVING_ITEM, key=server_id, rank=(incarnation,), body=b"")
-    )
     return json_response({"server_id": server_id, "incarnation": incarnation, "leaving": True})
 
 
--- a/tests/api/test_explain.py
+++ b/tests/api/test_explain.py
@@ -1,8 +1,9 @@
 """Tests of the decision record and of explain, also when another daemon served the request."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from random import Random
+from typing import Any
 
 import httpx
 import pytest
@@ -75,15 +76,58 @@
             assert chosen
             assert any("reason" in line for line in chosen)
             assert missing.status_code == 404
-            for daemon in (second, first):
-                await daemon.kill()
+            await first.kill()
+            await second.kill()
             await world.engines["engine-0"].stop()
 
-        async def bounded() -> None:
-            async with asyncio.timeout(TEST_TIMEOUT_S):
-                await scenario()
+        run_bounded(scenario())
 
-        asyncio.run(bounded())
+
+class TestStatusAndDrain:
+    def test_both_daemons_hold_the_revision_and_heed_the_drain(self) -> None:
+        """Status at one daemon names both holders; a drain at one takes effect at the other."""
+
+        async def scenario() -> None:
+            world = World()
+            world.add_engine("engine-0", "tuning", {"tuner": 0})
+            first = await started(world, "daemon-a", ())
+            second = await started(world, "daemon-b", (first.core.peers.address,))
+            await second.core.configuration.accept(DOCUMENT, Stage.PRODUCTION)
+            base = f"http://{first.address}/operators/v1"
+            headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+            async with httpx.AsyncClient(trust_env=False, headers=headers) as client:
+                for _ in range(POLLS):
+                    status = (await client.get(f"{base}/status")).json()
+                    if status["environments"] and len(status["environments"][0]["held_by"]) == 2:
+                        break
+                    await asyncio.sleep(0.01)
+                holders = status["environments"][0]["held_by"]
+                assert [holder["daemon_id"] for holder in holders] == ["daemon-a", "daemon-b"]
+                assert all(holder["revision"] == 1 and holder["since"] for holder in holders)
+                drained = await client.post(f"{base}/servers/engine-0/drain")
+                assert drained.status_code == 200
+            for _ in range(POLLS):
+                view = second.core.fleet.view("engine-0")
+                if view is not None and view.leaving:
+                    break
+                await asyncio.sleep(0.01)
+            assert view is not None
+            assert view.leaving
+            await first.kill()
+            await second.kill()
+            await world.engines["engine-0"].stop()
+
+        run_bounded(scenario())
+
+
+def run_bounded(scenario: Coroutine[Any, Any, None]) -> None:
+    """Run a scenario, bounded in time."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await scenario
+
+    asyncio.run(bounded())
 
 
 async def started(world: World, daemon_id: str, seeds: tuple[str, ...]) -> Daemon:
