Give every error that callers can get its own status

Cause: outcome_unknown and failures of backend servers fell through to 500, which is for faults of the program; a cursor conflict did not say where to go on. Change: 502 and 503, acknowledged_cursor in the body, and a test that no class is forgotten.

--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -13,6 +13,9 @@
 from litestar.types import Scope
 
 from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    BackendServerUnreachable,
     CallerDisconnected,
     ConditionFailed,
     CursorConflict,
@@ -24,8 +27,10 @@
     HeadersTooLarge,
     IdempotencyKeyReused,
     InvalidRequest,
+    LeaseLost,
     NoBackendServer,
     Outcome,
+    OutcomeUnknown,
     Overloaded,
     RateLimited,
     RequestConvicted,
@@ -69,6 +74,7 @@
     faults: tuple[str, ...] = ()
     current_revision: int | None = None
     difference: tuple[str, ...] = ()
+    acknowledged_cursor: int | None = None
 
 
 class ErrorAnswer(msgspec.Struct):
@@ -145,7 +151,16 @@
     return 429
 
 
+@http_status.register(BackendServerFailed)
+@http_status.register(OutcomeUnknown)
+def _(_: VerbenawindError) -> int:
+    return 502
+
+
+@http_status.register(AdmissionRefused)
+@http_status.register(BackendServerUnreachable)
 @http_status.register(Draining)
+@http_status.register(LeaseLost)
 @http_status.register(NoBackendServer)
 @http_status.register(Overloaded)
 @http_status.register(StoreUnavailable)
@@ -173,6 +188,8 @@
     if isinstance(error, RevisionConflict):
         detail.current_revision = error.current_revision
         detail.difference = tuple(error.difference.splitlines())
+    if isinstance(error, CursorConflict):
+        detail.acknowledged_cursor = error.acknowledged_cursor
     return ErrorAnswer(detail)
 
 
--- /dev/null
+++ b/tests/api/test_errors.py
@@ -0,0 +1,47 @@
+"""Tests of the HTTP form of errors."""
+
+import inspect
+
+import msgspec
+import pytest
+
+from verbenawind import errors
+from verbenawind.api.errors import error_answer, http_status
+from verbenawind.errors import Outcome, VerbenawindError
+
+INTERNAL = {"SettingsInvalid", "FencingRefused", "PeerUnreachable", "PeerUnauthenticated"}
+CLASSES = [
+    kind
+    for name, kind in inspect.getmembers(errors, inspect.isclass)
+    if issubclass(kind, VerbenawindError) and kind is not VerbenawindError and name not in INTERNAL
+]
+
+
+class TestErrors:
+    @pytest.mark.parametrize("kind", CLASSES, ids=lambda kind: kind.__name__)
+    def test_every_error_has_its_own_status(self, kind: type[VerbenawindError]) -> None:
+        """No error that a caller can get is answered 500, which is for faults of the program."""
+        error = kind.__new__(kind)
+        assert http_status(error) != 500
+
+    def test_codes_are_unique(self) -> None:
+        """Each class has a code of its own, so that callers can tell them apart."""
+        codes = [kind.code for kind in CLASSES]
+        assert len(set(codes)) == len(codes)
+
+    def test_cursor_conflict_names_the_cursor_to_poll_with(self) -> None:
+        """A trainer that lost its cursor is told where to go on."""
+        error = errors.CursorConflict("cursor 3 is void", acknowledged_cursor=2)
+        assert error_answer(error).error.acknowledged_cursor == 2
+
+    def test_body(self) -> None:
+        """The body states code, outcome and when to come back."""
+        error = errors.Overloaded("full", outcome=Outcome.NOT_RUN, retry_after_s=1.5)
+        body = msgspec.to_builtins(error_answer(error))["error"]
+        assert body == {
+            "message": "full",
+            "code": "overloaded",
+            "type": "server_error",
+            "outcome": "not_run",
+            "retry_after_s": 1.5,
+        }
