Cut off callers that stop reading their stream

Cause: while the server waits for a full socket nothing runs the generation, so its deadline never fires and the engine's place stays taken. Change: a timer from the moment writing pauses; nothing per chunk. The test hangs into its timeout with a long limit and passes with a short one.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -222,6 +222,7 @@
             int(port),
             max_connections=settings.limits.max_connections,
             header_timeout_s=settings.limits.header_timeout_s,
+            write_timeout_s=settings.limits.write_timeout_s,
         )
 
     @property
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -29,12 +29,19 @@
 
 
 class _Protocol(H11Protocol):
-    """Limits connections, closes those whose request head is slow, and answers in JSON."""
+    """Limits connections, closes those that send or read too slowly, and answers in JSON."""
 
     def __init__(
-        self, *args: Any, header_timeout_s: float, max_connections: int | None, **kwargs: Any
+        self,
+        *args: Any,
+        header_timeout_s: float,
+        write_timeout_s: float,
+        max_connections: int | None,
+        **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
+        self._write_timeout_s = write_timeout_s
+        self._write_timer: asyncio.TimerHandle | None = None
         self._max_connections = max_connections
         self._header_timeout_s = header_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
@@ -56,10 +63,21 @@
             self._stop_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the timer."""
+        """Forget the timers."""
         self._stop_head_timer()
+        self._stop_write_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Give a reader that is behind its time; its answer holds a backend server."""
+        super().pause_writing()
+        self._write_timer = self.loop.call_later(self._write_timeout_s, self.transport.abort)
+
+    def resume_writing(self) -> None:
+        """Forget that the reader was behind."""
+        self._stop_write_timer()
+        super().resume_writing()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP with the body that every error has."""
         self._answer(400, "invalid_request", msg)
@@ -86,6 +104,11 @@
                 self.transport.write(self.conn.send(event) or b"")
         self.transport.close()
 
+    def _stop_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -118,6 +141,7 @@
         port: TCP port, 0 for one that the kernel chooses.
         max_connections: Connections beyond this number are answered 503.
         header_timeout_s: A connection without a whole request head by then is closed.
+        write_timeout_s: A connection whose reader takes nothing for so long is closed.
     """
 
     __slots__ = ("_server", "_socket", "_task")
@@ -130,6 +154,7 @@
         *,
         max_connections: int | None = None,
         header_timeout_s: float = 10.0,
+        write_timeout_s: float = 30.0,
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -138,7 +163,10 @@
             app,
             loop="asyncio",
             http=partial(  # type: ignore[arg-type]
-                _Protocol, header_timeout_s=header_timeout_s, max_connections=max_connections
+                _Protocol,
+                header_timeout_s=header_timeout_s,
+                write_timeout_s=write_timeout_s,
+                max_connections=max_connections,
             ),
             ws="none",
             lifespan="off",
--- a/src/verbenawind/settings.py
+++ b/src/verbenawind/settings.py
@@ -65,6 +65,9 @@
     header_timeout_s: Annotated[
         PositiveFloat, Meta(description="Time for a request head to arrive, in seconds.")
     ] = 10.0
+    write_timeout_s: Annotated[
+        PositiveFloat, Meta(description="For how long a caller may read nothing, in seconds.")
+    ] = 30.0
     body_timeout_s: Annotated[
         PositiveFloat, Meta(description="Time for a request body to arrive, in seconds.")
     ] = 20.0
