--- a/src/verbenawind/api/completion_answers.py
+++ b/src/verbenawind/api/completion_answers.py
@@ -1,7 +1,7 @@
 """The answers that OpenAI-compatible clients expect, whole and as streams."""
 
-import contextlib
 from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Any
 
 import msgspec
@@ -92,7 +92,7 @@
     """Return the body of a whole answer; raises what the generation raises."""
     pieces = []
     ended: tuple[str, int] | None = None
-    async with contextlib.aclosing(answer_text(events, stops)) as parts:
+    async with aclosing(answer_text(events, stops)) as parts:
         async for part in parts:
             if isinstance(part, str):
                 pieces.append(part)
@@ -116,7 +116,7 @@
     """
     started = False
     try:
-        async with contextlib.aclosing(answer_text(events, stops)) as pieces:
+        async with aclosing(answer_text(events, stops)) as pieces:
             async for piece in pieces:
                 if not started and (opening := form.first_chunk()) is not None:
                     yield opening
