Pace generation by measured idle time and staleness, and bench rollouts

Change: lead in steps from idle share and mean staleness once per step; waits end with a delivery; new samples wait for changing engines by the staleness weight; lease 45 s; acknowledgement alone is written only when a step is whole or a scoring service waits; longest groups first. Conclusion: both documents steer in opposite directions and settle.

--- /dev/null
+++ b/bench/rollout.py
@@ -0,0 +1,264 @@
+"""Trainer idle time, staleness, waste and store cost of rollouts, at both users' sizes."""
+
+import math
+from collections import Counter
+from collections.abc import Sequence
+from random import Random
+
+import msgspec
+
+from bench.measurements import Better, Measurement
+from verbenawind.clock import Clock
+from verbenawind.document import EnvironmentDocument, parse_document
+from verbenawind.kernel.ports import Write
+from verbenawind.rollout import Rollouts
+from verbenawind.rollout.policy import RolloutPolicy
+from verbenawind.standins.engine import LONG_MARK, EngineProfile
+from verbenawind.standins.platform import StandinTable
+from verbenawind.standins.trainer import StandinTrainer
+from verbenawind.standins.trainer_calls import CoreTrainerCalls
+from verbenawind.standins.world import World, run_virtual
+
+__all__ = ["run"]
+
+_BENCH = "rollout"
+_TOKEN = "0" * 64
+_WARM_UP_S = 5.0
+_LONG_EVERY = 16
+
+
+class _User(msgspec.Struct, frozen=True, kw_only=True):
+    """One user's size and document weights."""
+
+    name: str
+    regions: tuple[str, ...]
+    engines: int
+    trainer_idle_weight: float
+    staleness_weight: float
+
+
+class _Policy(msgspec.Struct, frozen=True, kw_only=True):
+    """One policy that is measured."""
+
+    name: str
+    rollout: RolloutPolicy = RolloutPolicy()
+    steps_ahead: int = 2
+
+
+_USERS = (
+    _User(
+        name="siam",
+        regions=("bangkok", "chiang-mai", "hat-yai"),
+        engines=4,
+        trainer_idle_weight=4.0,
+        staleness_weight=1.0,
+    ),
+    _User(
+        name="kallioniemi",
+        regions=("lappi", "uusimaa", "pirkanmaa"),
+        engines=5,
+        trainer_idle_weight=1.0,
+        staleness_weight=4.0,
+    ),
+)
+_POLICIES = (
+    _Policy(name="full"),
+    _Policy(name="no-ahead", steps_ahead=0),
+    _Policy(name="fixed-ahead", rollout=RolloutPolicy(fixed_ahead_steps=2.0)),
+    _Policy(
+        name="no-straggler-handling",
+        rollout=RolloutPolicy(longest_first=False, move_stragglers=False),
+    ),
+)
+
+
+class _Scale(msgspec.Struct, frozen=True, kw_only=True):
+    groups: int = 64
+    group_size: int = 8
+    steps: int = 10
+    train_s: float = 120.0
+    tick_s: float = 0.2
+    tokens_per_tick: int = 4
+    max_running: int = 8
+
+
+def run(seed: int, short: bool) -> Sequence[Measurement]:
+    """Return the figures of every user and policy; the same seed gives the same run.
+
+    The short form has smaller steps than the users, so their bounds do not apply to it.
+    """
+    scale = _Scale(groups=24, group_size=4, steps=4) if short else _Scale()
+    return [
+        measurement
+        for user in _USERS
+        for policy in _POLICIES
+        for measurement in run_virtual(_measure(seed, user, policy, scale))
+    ]
+
+
+def _document(user: _User) -> EnvironmentDocument:
+    return parse_document(f"""
+    {{
+      "environment": "{user.name}",
+      "pools": [{{"name": "tuning", "checks_fencing": true}}],
+      "models": [{{"name": "tuner", "pool": "tuning", "staleness": {{"max_versions": 2}}}}],
+      "callers": [{{"name": "plant", "kind": "trainer", "models": ["tuner"],
+                    "rate_per_s": 100000.0, "max_concurrency": 100000,
+                    "token_sha256": "{_TOKEN}"}}],
+      "trainers": [{{"name": "folders", "caller": "plant", "model": "tuner"}}],
+      "trainer_idle_weight": {user.trainer_idle_weight},
+      "staleness_weight": {user.staleness_weight}
+    }}
+    """)
+
+
+def _prompt(_: int, group: int) -> str:
+    """The same jobs come again in each step, so that their lengths can be learned."""
+    return f"envelope job {group}{LONG_MARK if group % _LONG_EVERY == _LONG_EVERY - 1 else ''}"
+
+
+async def _measure(seed: int, user: _User, policy: _Policy, scale: _Scale) -> Sequence[Measurement]:
+    world = World(seed, user.regions)
+    world.table = table = _CountingTable(world.clock, world.rng)
+    for index in range(user.engines):
+        profile = EngineProfile(
+            max_running=scale.max_running,
+            tick_s=scale.tick_s,
+            tokens_per_tick=scale.tokens_per_tick,
+        )
+        world.add_engine(
+            f"engine-{index}", "tuning", {"tuner": 0}, zone_index=index, profile=profile
+        )
+    cores = [world.add_daemon(f"daemon-{index}", zone_index=index) for index in range(3)]
+    for core in cores:
+        core.rollouts = Rollouts(
+            table=core.table,
+            objects=core.objects,
+            leases=core.leases,
+            generator=core.dispatcher,
+            peers=core.peers,
+            fleet=core.fleet,
+            clients=core.outside.clients,
+            clock=core.outside.clock,
+            rng=core.outside.rng,
+            policy=policy.rollout,
+        )
+        await core.start()
+    document = _document(user)
+    revision = await world.accept(document)
+    await world.clock.sleep(_WARM_UP_S)
+    trainer = StandinTrainer(
+        CoreTrainerCalls(lambda: cores, revision, world.clock),
+        "tuner",
+        world.weights,
+        world.clock,
+        groups=scale.groups,
+        group_size=scale.group_size,
+        max_tokens=2048,
+        train_s=scale.train_s,
+        max_versions=2,
+        steps_ahead=policy.steps_ahead,
+        prompt=_prompt,
+    )
+    before = table.rollout_writes, world.objects.written_bytes
+    await trainer.run(scale.steps)
+    writes = table.rollout_writes - before[0]
+    figures = _figures(world, trainer, scale, writes, world.objects.written_bytes - before[1])
+    await world.stop()
+    is_users_size = scale == _Scale()
+    return [_as_measurement(user, policy, figure, is_users_size) for figure in figures]
+
+
+class _Figure(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    value: float
+    unit: str
+    better: Better = Better.LOWER
+    bound: float | None = None
+
+
+class _CountingTable(StandinTable):
+    """Counts the writes that serve rollouts: their rows, their leases, versions."""
+
+    _PREFIXES = ("rollout/", "lease/rollout/", "version/")
+
+    def __init__(self, clock: Clock, rng: Random) -> None:
+        super().__init__(clock, rng)
+        self.by_key: Counter[str] = Counter()
+
+    @property
+    def rollout_writes(self) -> int:
+        """How many rows were written for rollouts."""
+        return sum(count for key, count in self.by_key.items() if key.startswith(self._PREFIXES))
+
+    def _apply(self, write: Write, operation_id: str) -> None:
+        if not write.check_only:
+            self.by_key[write.key] += 1
+        super()._apply(write, operation_id)
+
+
+def _figures(
+    world: World, trainer: StandinTrainer, scale: _Scale, writes: int, object_bytes: int
+) -> list[_Figure]:
+    report = trainer.report
+    samples = sum(report.samples.values())
+    delivered = sum(len(one.token_ids) for step in trainer.samples.values() for one in step)
+    generated = sum(core.rollouts.tokens.generated for core in world.daemons.values())
+    # The first step has nothing to hide its generation behind.
+    idle_s = sum(report.step_idle_s[1:])
+    busy_s = scale.train_s * (scale.steps - 1)
+    ages = sorted(report.staleness_versions)
+    train_ages = sorted(report.train_staleness_versions)
+    return [
+        _Figure(name="trainer_idle_ratio", value=idle_s / (idle_s + busy_s), unit="ratio"),
+        _Figure(name="staleness_median", value=_quantile(ages, 0.5), unit="versions"),
+        _Figure(name="staleness_p95", value=_quantile(ages, 0.95), unit="versions"),
+        _Figure(name="staleness_mean", value=sum(ages) / len(ages), unit="versions"),
+        _Figure(name="train_staleness_p95", value=_quantile(train_ages, 0.95), unit="versions"),
+        _Figure(name="wasted_tokens", value=1.0 - delivered / generated, unit="ratio"),
+        _Figure(name="step_wait_max", value=max(report.step_idle_s), unit="s"),
+        _Figure(name="table_writes_per_sample", value=writes / samples, unit="writes"),
+        _Figure(name="table_writes_per_step", value=writes / scale.steps, unit="writes"),
+        _Figure(name="object_bytes_per_sample", value=object_bytes / samples, unit="B"),
+        _Figure(name="object_bytes_per_step", value=object_bytes / scale.steps, unit="B"),
+        _Figure(
+            name="duplicates_and_faults",
+            value=float(samples - len(report.samples) + report.unlabelled + report.stale),
+            unit="samples",
+            bound=0.0,
+        ),
+    ]
+
+
+def _quantile(values: Sequence[int], share: float) -> float:
+    return float(values[math.ceil(share * len(values)) - 1])
+
+
+_BOUNDS = {
+    ("siam", "trainer_idle_ratio"): 0.05,
+    ("kallioniemi", "staleness_p95"): 1.0,
+    ("siam", "wasted_tokens"): 0.03,
+    ("kallioniemi", "wasted_tokens"): 0.03,
+    ("siam", "table_writes_per_sample"): 0.05,
+    ("kallioniemi", "table_writes_per_sample"): 0.05,
+}
+
+
+def _as_measurement(
+    user: _User, policy: _Policy, figure: _Figure, is_users_size: bool
+) -> Measurement:
+    is_full = policy.name == "full"
+    bound = figure.bound
+    if is_full and is_users_size:
+        bound = _BOUNDS.get((user.name, figure.name), bound)
+    return Measurement(
+        bench=_BENCH,
+        figure=figure.name,
+        variant=f"{user.name}/{policy.name}",
+        value=figure.value,
+        unit=figure.unit,
+        better=figure.better,
+        baseline_variant=None if is_full else f"{user.name}/full",
+        bound=bound,
+        bound_source="issue 5" if bound is not None else "",
+    )
--- a/src/verbenawind/rollout/commits.py
+++ b/src/verbenawind/rollout/commits.py
@@ -31,9 +31,9 @@
 
 _MIN_BATCH_SAMPLES = 32
 _MAX_BATCH_SAMPLES = 512
-_BATCHES_PER_STEP = 4
-_MAX_DELAY_S = 20.0
-_MAX_HOLD_S = 60.0
+_BATCHES_PER_STEP = 3
+_MAX_DELAY_S = 30.0
+_MAX_HELD_SAMPLES = 2048
 _MAINTENANCE_PERIOD_S = 30.0
 _MAX_DELETIONS = 64
 
@@ -210,8 +210,8 @@
     ) -> list[FinishedUnit]:
         if not self.pending:
             return []
-        is_late = now_s - self.pending[0].finished_at_s >= _MAX_HOLD_S
-        ready = self.pending if flush or is_late else self._in_order(records)
+        is_full = self.pending_samples >= _MAX_HELD_SAMPLES
+        ready = self.pending if flush or is_full else self._in_order(records)
         if not ready:
             return []
         largest = max((record.samples_expected for record in records), default=0)
--- a/src/verbenawind/rollout/delivery.py
+++ b/src/verbenawind/rollout/delivery.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-import msgspec
 import structlog
 
 from verbenawind.clock import Clock
@@ -152,8 +151,6 @@
         plan = plan_delivery(self._request, rows.delivery, rows.work, rows.grades, bound)
         record = plan.record
         if record is not None:
-            if plan.send:
-                record = _with_wait(record, waited_s)
             await self._write(record, rows)
             self._parts._log.info(
                 "delivery_recorded",
@@ -176,7 +173,8 @@
         record = rows.delivery
         if self._request.cursor != record.cursor or record.cursor == record.after:
             return
-        if last or record.whole_steps or waited_s >= _ACKNOWLEDGE_AFTER_S:
+        is_awaited = bool(record.whole_steps) or self._trainer.scoring_service is not None
+        if is_awaited and (last or waited_s >= _ACKNOWLEDGE_AFTER_S):
             await self._write(acknowledge(record), rows)
 
     async def _answer(self, record: DeliveryRecord, rows: TrainerRows) -> PollResponse:
@@ -232,7 +230,3 @@
     def _bound(self, record: DeliveryRecord) -> StalenessBound:
         declared = max(self._request.current_version, record.declared_version)
         return self._parts._versions.bound(self._revision.name, self._model, declared)
-
-
-def _with_wait(record: DeliveryRecord, waited_s: float) -> DeliveryRecord:
-    return msgspec.structs.replace(record, waited_s=record.waited_s + waited_s)
--- a/src/verbenawind/rollout/drafts.py
+++ b/src/verbenawind/rollout/drafts.py
@@ -43,6 +43,7 @@
     timeout_s: float
     expected_tokens: int = 0
     declared_version: int = 0
+    min_version: int = 0
 
 
 class TokenCounts:
@@ -131,10 +132,11 @@
         return tuple(task.result() for task in made)
 
     async def _sample(self, job: UnitJob, group: int, index: int, deadline_s: float) -> Sample:
+        min_version = job.min_version
         while True:
             draft = Draft()
             try:
-                if await self._draw(job, group, index, deadline_s, draft):
+                if await self._draw(job, group, index, deadline_s, min_version, draft):
                     return _finished(job, group, index, draft)
             except DeadlineExceeded:
                 self._tokens.wasted += len(draft.token_ids)
@@ -143,13 +145,20 @@
                 self._note(job, group, index, draft, error.message)
                 if self._clock.monotonic_s() + _RETRY_S >= deadline_s:
                     raise DeadlineExceeded(error.message) from error
+                min_version = 0
                 await self._clock.sleep(_RETRY_S)
             except asyncio.CancelledError:
                 self._tokens.wasted += len(draft.token_ids)
                 raise
 
     async def _draw(
-        self, job: UnitJob, group: int, index: int, deadline_s: float, draft: Draft
+        self,
+        job: UnitJob,
+        group: int,
+        index: int,
+        deadline_s: float,
+        min_version: int,
+        draft: Draft,
     ) -> bool:
         """Fill the draft; return False when it expired on the way."""
         bound = self._versions.bound(job.environment, job.model, job.declared_version)
@@ -165,7 +174,7 @@
             seed=sample_seed(job.sampling.seed, group, index),
             temperature=job.sampling.temperature,
             deadline_s=deadline_s,
-            min_version=bound.oldest_dispatchable(),
+            min_version=max(min_version, bound.oldest_dispatchable()),
             expected_tokens=job.expected_tokens,
         )
         events = self._generator.generate(request)
--- a/src/verbenawind/rollout/holder.py
+++ b/src/verbenawind/rollout/holder.py
@@ -14,6 +14,7 @@
 from verbenawind.kernel.rollouts import Sample, StepSubmission
 from verbenawind.rollout.commits import BatchCommitter, FinishedUnit, TrainerState
 from verbenawind.rollout.drafts import UnitJob
+from verbenawind.rollout.fresh_start import FreshStart, fresh_start
 from verbenawind.rollout.holder_parts import HolderParts
 from verbenawind.rollout.lengths import LengthBook
 from verbenawind.rollout.pacer import Pacer
@@ -29,7 +30,7 @@
 
 __all__ = ["StepHolder"]
 
-_LEASE_S = 15.0
+_LEASE_S = 45.0
 _LOOK_PERIOD_S = 0.5
 _TURN_PERIOD_S = 0.1
 _ACQUIRE_PERIOD_S = 1.0
@@ -84,6 +85,7 @@
         self._running_samples = 0
         self._wake = asyncio.Event()
         self._draining = False
+        self._min_version = 0
         self._next_look_s = 0.0
         self._next_acquire_s = 0.0
 
@@ -95,6 +97,8 @@
 
     def note_waiting(self) -> None:
         """Take in that the trainer waits for samples now."""
+        if not self._pacer.trainer_waits:
+            self._next_look_s = 0.0
         self._pacer.note_waiting()
         self._wake.set()
 
@@ -236,7 +240,10 @@
             record.step: self._steps.get(record.step) or _Step(record) for record in open_records
         }
         self._cancel_finished()
-        self._pacer.take_in(rows.delivery, self._state.revision.document, self._state.model)
+        largest = max((step.units.count for step in self._steps.values()), default=1)
+        self._pacer.take_in(
+            rows.delivery, self._state.revision.document, self._state.model, largest
+        )
         if self._state.trainer.scoring_service is not None:
             self._parts.scorer.take_in(self._state, rows)
 
@@ -283,25 +290,48 @@
         self._parts.workforce.refresh(pool)
         room = self._parts.workforce.free(pool)
         room = min(room, _MAX_UNCOMMITTED_SAMPLES - self._uncommitted_samples())
+        decision = self._freshness()
+        if not decision.start:
+            return
+        self._min_version = decision.min_version
         if self._committer.pending_tokens >= _MAX_UNCOMMITTED_TOKENS:
             return
-        demanded = True
+        awaited = self._awaited_step()
         for number in sorted(self._steps):
             needed = self._needed(self._steps[number])
-            if not needed:
-                demanded = demanded and not self._is_undelivered(number)
-                continue
-            room = await self._start_units(self._steps[number], needed, room, demanded=demanded)
-            demanded = False
+            if needed:
+                room = await self._start_units(self._steps[number], needed, room, awaited)
             if room <= 0:
                 return
 
+    def _awaited_step(self) -> int | None:
+        """Return the step that the trainer waits for, None while it has no need of one."""
+        if not self._pacer.trainer_waits:
+            return None
+        undelivered = {step for step, _ in self._ahead_units()}
+        open_steps = [
+            number
+            for number in sorted(self._steps)
+            if number in undelivered or self._needed(self._steps[number])
+        ]
+        return open_steps[0] if open_steps else None
+
+    def _freshness(self) -> FreshStart:
+        """Decide whether to wait for engines that still change to the newest version."""
+        state, clock = self._state, self._parts.clock
+        bound = self._parts.versions.bound(
+            state.environment, state.model, self._committer.rows.delivery.declared_version
+        )
+        return fresh_start(
+            bound,
+            self._parts.active_versions(state.model),
+            clock.now().timestamp(),
+            state.revision.document,
+        )
+
     def _uncommitted_samples(self) -> int:
         return self._running_samples + self._committer.pending_samples
 
-    def _is_undelivered(self, step: int) -> bool:
-        return any(number == step for number, _ in self._ahead_units())
-
     def _ahead_units(self) -> list[tuple[int, int]]:
         """Return the (step, unit) of all that is made or being made but not delivered."""
         rows = self._committer.rows
@@ -321,15 +351,17 @@
         ]
 
     async def _start_units(
-        self, step: _Step, needed: list[NeededUnit], room: int, *, demanded: bool
+        self, step: _Step, needed: list[NeededUnit], room: int, awaited: int | None
     ) -> int:
         """Start what the pacing allows and return the room that is left, in samples."""
         submission = await self._submission(step)
         if submission is None:
             return room
         number = step.record.step
-        ahead = [key for key in self._ahead_units() if key[0] != number or not demanded]
-        allowed = self._pacer.allowed_units(step.units.count, len(ahead), demanded=demanded)
+        allowed = len(needed)
+        if number != awaited:
+            ahead = [key for key in self._ahead_units() if key[0] != awaited]
+            allowed = self._pacer.allowed_units(step.units.count, len(ahead))
         jobs = [self._job(step, submission, unit.unit, unit.generation) for unit in needed]
         if self._parts.policy.longest_first:
             jobs.sort(key=lambda job: -job.expected_tokens)
@@ -367,6 +399,7 @@
             timeout_s=self._state.trainer.step_timeout_s,
             expected_tokens=self._lengths.expected_tokens(prompt),
             declared_version=self._committer.rows.delivery.declared_version,
+            min_version=self._min_version,
         )
 
     def _start(self, job: UnitJob) -> None:
--- a/src/verbenawind/rollout/holder_parts.py
+++ b/src/verbenawind/rollout/holder_parts.py
@@ -3,6 +3,9 @@
 from random import Random
 
 from verbenawind.clock import Clock
+from verbenawind.document import ModelSpec
+from verbenawind.kernel import Fleet
+from verbenawind.kernel.messages import BackendKind
 from verbenawind.kernel.ports import Leases, ObjectStore, PeerBus, TableStore
 from verbenawind.rollout.policy import RolloutPolicy
 from verbenawind.rollout.scoring import Scorer
@@ -26,10 +29,12 @@
         clock: Time source.
         rng: Jitter of retries.
         policy: Which policies are in use.
+        fleet: The view of the engines.
     """
 
     __slots__ = (
         "clock",
+        "fleet",
         "leases",
         "objects",
         "peers",
@@ -54,6 +59,7 @@
         clock: Clock,
         rng: Random,
         policy: RolloutPolicy,
+        fleet: Fleet,
     ) -> None:
         self.table = table
         self.objects = objects
@@ -65,3 +71,14 @@
         self.rng = rng
         self.peers = peers
         self.policy = policy
+        self.fleet = fleet
+
+    def active_versions(self, model: ModelSpec) -> list[int | None]:
+        """Return the version of a model on each usable engine of its pool."""
+        now_s = self.clock.monotonic_s()
+        statuses = [
+            view.status.model(model.name)
+            for view in self.fleet.group(BackendKind.ENGINE, model.pool)
+            if view.status is not None and view.usable(now_s)
+        ]
+        return [status.active_version for status in statuses if status is not None]
--- a/src/verbenawind/rollout/records.py
+++ b/src/verbenawind/rollout/records.py
@@ -112,7 +112,7 @@
     The outstanding delivery ``cursor`` follows the acknowledged cursor ``after`` and holds the
     units with ordinals in (``start``, ``end``] that are not void, and the grade batches in
     (``grade_start``, ``grade_end``]. When ``cursor`` equals ``after`` nothing is outstanding.
-    ``waited_s`` and the staleness sums feed the pacing of generation.
+    ``delivered_units`` and ``staleness_sum`` feed the pacing of generation.
     """
 
     cursor: int = 0
@@ -127,7 +127,6 @@
     remade: dict[int, dict[int, int]] = msgspec.field(default_factory=dict)
     whole_steps: tuple[int, ...] = ()
     finished: tuple[int, ...] = ()
-    waited_s: float = 0.0
     delivered_units: int = 0
     staleness_sum: int = 0
 
--- a/src/verbenawind/rollout/service.py
+++ b/src/verbenawind/rollout/service.py
@@ -112,6 +112,7 @@
             clock=clock,
             rng=rng,
             policy=policy or RolloutPolicy(),
+            fleet=fleet,
         )
         self._holders: dict[tuple[str, str], StepHolder] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -32,6 +32,8 @@
 _VOCABULARY = 50_000
 _BLOCK_CHARACTERS = 64
 CRASH_MARK = "[crash-engine]"
+LONG_MARK = "[long]"
+_LONG_FACTOR = 4
 
 
 def expected_token(model: str, version: int, prompt: str, seed: int, index: int) -> int:
@@ -40,7 +42,12 @@
 
 
 def natural_length(prompt: str, seed: int, median_tokens: int = 48, sigma: float = 0.8) -> int:
-    """Return the heavy-tailed length at which a generation ends by itself, in tokens."""
+    """Return the heavy-tailed length at which a generation ends by itself, in tokens.
+
+    Prompts with LONG_MARK have longer answers.
+    """
+    if LONG_MARK in prompt:
+        median_tokens *= _LONG_FACTOR
     normal = Random(f"{prompt}|{seed}").gauss(0.0, sigma)
     return max(1, round(median_tokens * math.exp(normal)))
 
--- /dev/null
+++ b/tests/rollout/test_pacing.py
@@ -0,0 +1,104 @@
+"""Tests of the decisions: pacing, fresh starts, and which units are still needed."""
+
+import pytest
+
+from verbenawind.document import EnvironmentDocument, StalenessSpec
+from verbenawind.rollout.fresh_start import fresh_start
+from verbenawind.rollout.lengths import LengthBook
+from verbenawind.rollout.pacing import PacingInputs, next_pacing
+from verbenawind.rollout.records import VersionTime
+from verbenawind.rollout.staleness import StalenessBound
+from verbenawind.rollout.units import StepUnits, count_bits, has_bit, with_bits, without_bits
+
+
+def _settled(trainer_idle_weight: float, staleness_weight: float) -> float:
+    """Return where pacing settles when idle time falls and staleness rises with the lead."""
+    ahead = 1.0
+    for _ in range(200):
+        inputs = PacingInputs(
+            idle_ratio=max(0.0, 0.4 * (1.0 - ahead)),
+            staleness_versions=ahead,
+            trainer_idle_weight=trainer_idle_weight,
+            staleness_weight=staleness_weight,
+            max_versions=2,
+        )
+        ahead = next_pacing(ahead, inputs).ahead_steps
+    return ahead
+
+
+class TestPacing:
+    def test_weights_steer_in_opposite_directions(self) -> None:
+        """A document that weighs idle time runs further ahead than one that weighs staleness."""
+        assert _settled(4.0, 1.0) > _settled(1.0, 1.0) > _settled(1.0, 4.0)
+
+    def test_only_one_cost(self) -> None:
+        """With one weight zero the lead goes to its limit on that side."""
+        assert _settled(0.0, 1.0) == pytest.approx(0.05)
+        assert _settled(1.0, 0.0) == pytest.approx(1.0, abs=0.05)
+
+    def test_no_version_may_be_missed(self) -> None:
+        """With a bound of zero versions hardly anything is made ahead."""
+        inputs = PacingInputs(
+            idle_ratio=1.0,
+            staleness_versions=0.0,
+            trainer_idle_weight=1.0,
+            staleness_weight=0.0,
+            max_versions=0,
+        )
+        assert next_pacing(1.0, inputs).ahead_steps == pytest.approx(0.05)
+
+
+class TestFreshStart:
+    @pytest.mark.parametrize(
+        ("age_s", "staleness_weight", "active", "starts"),
+        [
+            (1.0, 4.0, [6, 6, 6], False),
+            (1.0, 4.0, [7, 7, 6], True),
+            (9.0, 4.0, [6, 6, 6], True),
+            (1.0, 0.0, [6, 6, 6], True),
+            (1.0, 4.0, [None, None, 7], False),
+        ],
+    )
+    def test_waits_for_new_weights(
+        self, age_s: float, staleness_weight: float, active: list[int | None], starts: bool
+    ) -> None:
+        """New samples wait for changing engines as long as the document's weights say."""
+        bound = StalenessBound(
+            spec=StalenessSpec(max_versions=2),
+            newest_version=7,
+            history=(VersionTime(version=7, published_at_s=100.0),),
+            now_s=100.0 + age_s,
+        )
+        document = EnvironmentDocument(environment="e", staleness_weight=staleness_weight)
+        assert fresh_start(bound, active, 100.0 + age_s, document).start is starts
+
+
+class TestLengthBook:
+    def test_learns_each_prompt(self) -> None:
+        """Known prompts have their own expectation, unknown ones that of all."""
+        book = LengthBook()
+        assert book.expected_tokens("a") == 0
+        for _ in range(20):
+            book.learn("a", 400)
+            book.learn("b", 100)
+        assert book.expected_tokens("a") == 400
+        assert book.expected_tokens("b") == 100
+        assert 100 < book.expected_tokens("c") < 400
+
+
+class TestUnits:
+    @pytest.mark.parametrize("singles", [False, True])
+    def test_every_sample_has_one_unit(self, singles: bool) -> None:
+        """The members of all units are all samples, each in the unit that it says."""
+        units = StepUnits.from_runs(((2, 3), (1, 1)), singles=singles)
+        members = [(unit, member) for unit in range(units.count) for member in units.members(unit)]
+        assert len(members) == units.samples == 7
+        assert all(units.unit_of(*member) == unit for unit, member in members)
+        assert [units.sample_number(*member) for _, member in members] == list(range(7))
+        assert units.sample_number(2, 1) is None
+
+    def test_bitmaps(self) -> None:
+        """Bits that are set are found, counted and cleared."""
+        bitmap = with_bits(b"", [0, 9, 70])
+        assert [bit for bit in range(100) if has_bit(bitmap, bit)] == [0, 9, 70]
+        assert count_bits(without_bits(bitmap, [9, 200])) == 2
--- /dev/null
+++ b/tests/rollout/test_stragglers.py
@@ -0,0 +1,72 @@
+"""Tests that stragglers are finished, not replaced, and that work spreads over daemons."""
+
+import asyncio
+
+from rollout.scenarios import Scene, document, submission
+from verbenawind.standins.engine import EngineProfile, natural_length
+from verbenawind.standins.world import run_virtual
+
+
+class TestLengths:
+    def test_no_bias_to_short_samples(self) -> None:
+        """Through crashes and expiry each delivered sample has exactly its own drawn length."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(max_versions=1), engines=4).start()
+            await scene.submit(submission(1, groups=16, max_tokens=2000))
+            collecting = asyncio.create_task(scene.collect(64))
+            for version, engine in enumerate(("engine-0", "engine-1"), start=1):
+                await asyncio.sleep(0.7)
+                scene.world.engines[engine].crash()
+                await scene.publish(version)
+                await asyncio.sleep(0.3)
+                scene.world.engines[engine].restart()
+            await collecting
+            for sample in scene.samples.values():
+                seed = sample.step * 1_000_003 + sample.group * 1009 + sample.index
+                prompt = f"s{sample.step} g{sample.group}"
+                assert len(sample.token_ids) == natural_length(prompt, seed)
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+
+class TestSpreading:
+    def test_peers_make_samples_too(self) -> None:
+        """A step larger than the holder's own share of the engines is made by its peers as well."""
+
+        async def scenario() -> None:
+            scene = Scene(document(), engines=1, daemons=3)
+            for index in range(1, 6):
+                scene.world.add_engine(
+                    f"more-{index}",
+                    "tuning",
+                    {"tuner": 0},
+                    zone_index=index,
+                    profile=EngineProfile(max_running=4),
+                )
+            await scene.start()
+            await asyncio.sleep(5.0)
+            await scene.submit(submission(1, groups=128))
+            await scene.collect(512)
+            makers = [core.rollouts.tokens.generated for core in scene.cores]
+            assert sum(count > 0 for count in makers) > 1
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
+    def test_peer_dies_with_its_share(self) -> None:
+        """What a killed peer was making is made again, and every sample comes once."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(), engines=3, daemons=3).start()
+            await asyncio.sleep(5.0)
+            await scene.submit(submission(1, groups=128))
+            await asyncio.sleep(0.7)
+            holder = scene.holder_name()
+            peer = next(name for name in scene.world.daemons if name != holder)
+            await scene.remove(peer)
+            await scene.collect(512)
+            await scene.world.stop()
+
+        run_virtual(scenario())
