--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 FAULTS ?= 0
 SEED ?= 1
 EXAMPLES ?= 200
+# Sets of strings iterate in one order, so that every run gives the same verdict.
+export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench fuzz
+.PHONY: demo test lint format bench fuzz replay
 
 $(VENV)/.installed:
 	python3 -m venv $(VENV)
@@ -16,7 +18,7 @@
 	@PYTHONPATH=src $(PYTHON) -m verbenawind.standins.demo --faults=$(FAULTS) --seed=$(SEED)
 
 test: | $(VENV)/.installed
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest --numprocesses=4
 
 lint: | $(VENV)/.installed
 	$(VENV)/bin/black --check --quiet src tests bench
@@ -32,3 +34,6 @@
 
 fuzz: | $(VENV)/.installed
 	VERBENAWIND_FUZZ_SEED=$(SEED) VERBENAWIND_FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest tests/fuzz
+
+replay: | $(VENV)/.installed
+	PYTHONPATH=src $(PYTHON) -m verbenawind.traces tests/traces/*.jsonl tests/traces/long/*.jsonl
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -32,6 +32,7 @@
 from verbenawind.routing import Dispatcher, RoutingPolicy
 from verbenawind.settings import DaemonSettings, load_settings
 from verbenawind.state import ConfigurationStore, LeaseManager, ObjectClient, TableClient
+from verbenawind.traces import LiveRecording
 from verbenawind.weights import WeightsController
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
@@ -111,10 +112,14 @@
             fleet=self.fleet,
             clients=outside.clients,
             table=self.table,
+            store=outside.weights,
             leases=self.leases,
+            peers=self.peers,
             configuration=self.configuration,
             clock=clock,
+            rng=rng,
         )
+        self.metrics.on_render(self._collect)
         self._ready = False
         self._tasks: list[asyncio.Task[None]] = []
         self._log = structlog.get_logger("daemon")
@@ -143,6 +148,7 @@
         self.ready = False
         await self.rollouts.stop()
         await self._cancel_tasks()
+        await self.weights.stop()
         await self.leases.stop()
         await self.peers.stop()
 
@@ -150,10 +156,21 @@
         """Stop at once without telling anybody, as a crash would."""
         self.ready = False
         self.leases.abandon()
+        self.weights.abandon()
         await self.peers.kill()
         await self.rollouts.kill()
         await self._cancel_tasks()
 
+    def _collect(self) -> None:
+        """Take in what routing counted by itself."""
+        stats = self.dispatcher.stats
+        for name, value, help_text in (
+            ("engine_choices", stats.choices, "Choices of an engine so far."),
+            ("engine_choices_by_prefix", stats.affine_choices, "Those that followed the prefix."),
+            ("attempt_retries", stats.retries, "Attempts that were retried so far."),
+        ):
+            self.metrics.set_value(name, help_text, value)
+
     async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
@@ -178,12 +195,15 @@
         self.core = Core(settings, outside)
         if isinstance(outside.clients, PluginBackendClients):
             self.core.configuration.subscribe(outside.clients.apply)
+        self._recording = _recording(self.core, settings.trace_file)
+        recorder = self._recording.recorder if self._recording else None
         services = ApiServices(
             settings=settings,
             configuration=self.core.configuration,
-            generator=self.core.dispatcher,
-            service_caller=self.core.dispatcher,
-            rollouts=self.core.rollouts,
+            generator=recorder or self.core.dispatcher,
+            service_caller=recorder or self.core.dispatcher,
+            rollouts=recorder or self.core.rollouts,
+            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
@@ -211,6 +231,8 @@
         """Start the core, then serve."""
         record_decisions_in(self.core.decisions)
         await self.core.start()
+        if self._recording is not None:
+            self._recording.begin()
         await self._server.start()
 
     async def stop(self) -> None:
@@ -221,6 +243,8 @@
         await self._server.stop()
         await self.core.dispatcher.drain()
         await self.core.stop()
+        if self._recording is not None:
+            self._recording.close()
 
     async def kill(self) -> None:
         """Die at once, as a crash would."""
@@ -228,6 +252,21 @@
         await self._server.kill()
 
 
+def _recording(core: Core, path: str) -> LiveRecording | None:
+    if not path:
+        return None
+    return LiveRecording(
+        path,
+        core.outside.clock,
+        fleet=core.fleet,
+        peers=core.peers,
+        configuration=core.configuration,
+        generator=core.dispatcher,
+        services=core.dispatcher,
+        rollouts=core.rollouts,
+    )
+
+
 def connect_outside(settings: DaemonSettings) -> Outside:
     """Return the adapters to everything outside, as the settings name them."""
     url = settings.platform_url
--- a/src/verbenawind/document/__init__.py
+++ b/src/verbenawind/document/__init__.py
@@ -18,6 +18,7 @@
     StalenessSpec,
     SwapPolicy,
     TrainerSpec,
+    WeightsSpec,
 )
 
 __all__ = [
@@ -37,6 +38,7 @@
     "StalenessSpec",
     "SwapPolicy",
     "TrainerSpec",
+    "WeightsSpec",
     "canonical_bytes",
     "document_difference",
     "document_digest",
--- a/src/verbenawind/membership/gossip.py
+++ b/src/verbenawind/membership/gossip.py
@@ -19,7 +19,11 @@
 
 _PUSHED_BODY_BYTES = 512
 _SYNC_SPACING_S = 0.5
-_SETTLING_S = 0.3
+_SETTLING_S = 0.5
+_QUIET_S = 2.5
+_BUCKETS_COMPARED = 4
+_SHORT_DIGEST = 0xFFFF_FFFF
+_REPEATS_TO_PRUNE = 4
 
 
 class Gossip:
@@ -65,33 +69,50 @@
 
     def heartbeat(self, link: Link) -> None:
         """Send a sign of life, with the digests of one bucket more each time."""
+        turn, group = divmod(link.beats, BUCKETS // _BUCKETS_COMPARED)
         link.beats += 1
-        turn, bucket = divmod(link.beats, BUCKETS)
         in_zone = link.peer.zone == self._zone
         bulk = ItemClass.BULK_IN_ZONE if in_zone and turn % 2 else ItemClass.BULK
+        first = group * _BUCKETS_COMPARED
+        buckets = range(first, first + _BUCKETS_COMPARED)
+        urgent_digest = self._store.total_digest(ItemClass.URGENT) if self._settled() else None
         link.post(
             Heartbeat(
-                urgent_digest=self._store.total_digest(ItemClass.URGENT),
+                urgent_digest=urgent_digest,
                 bulk_class=int(bulk),
-                bucket=bucket,
-                bucket_digest=self._store.bucket_digests(bulk)[bucket],
+                first_bucket=first,
+                bucket_digests=tuple(self._quiet_digest(bulk, bucket) for bucket in buckets),
             )
         )
 
+    def _quiet_digest(self, item_class: ItemClass, bucket: int) -> int | None:
+        """Return a bucket's short digest, None when it changed lately."""
+        if self._store.quiet_s(item_class, bucket) < _QUIET_S:
+            return None
+        return self._store.bucket_digests(item_class)[bucket] & _SHORT_DIGEST
+
+    def _settled(self) -> bool:
+        return self._clock.monotonic_s() - self._urgent_at_s >= _SETTLING_S
+
     def on_heartbeat(self, link: Link, message: Heartbeat) -> None:
         """Compare digests, and start a repair where they differ."""
         now_s = self._clock.monotonic_s()
         if now_s - link.synced_at_s < _SYNC_SPACING_S:
             return
-        settled = now_s - self._urgent_at_s >= _SETTLING_S
-        if settled and message.urgent_digest != self._store.total_digest(ItemClass.URGENT):
+        own_digest = self._store.total_digest(ItemClass.URGENT)
+        if self._settled() and message.urgent_digest not in (None, own_digest):
             link.synced_at_s = now_s
             digests = tuple(self._store.bucket_digests(ItemClass.URGENT))
             link.post(BucketDigests(item_class=int(ItemClass.URGENT), digests=digests))
         bulk = ItemClass(message.bulk_class)
-        if self._store.bucket_digests(bulk)[message.bucket] != message.bucket_digest:
+        differing = []
+        for bucket, digest in enumerate(message.bucket_digests, message.first_bucket):
+            own = self._quiet_digest(bulk, bucket)
+            if None not in (own, digest) and own != digest:
+                differing.append(bucket)
+        if differing:
             link.synced_at_s = now_s
-            self._summarize(link, bulk, (message.bucket,))
+            self._summarize(link, bulk, tuple(differing))
 
     def open(self, link: Link) -> None:
         """Compare everything with a peer whose link has just opened."""
@@ -115,6 +136,8 @@
         theirs = dict(message.entries)
         missing = tuple(key for key, content in theirs.items() if own.get(key) != content)
         if missing:
+            if item_class is not ItemClass.URGENT:
+                link.eager = True
             link.post(Want(item_class=int(item_class), key_hashes=missing))
         if not message.buckets:
             return
@@ -135,13 +158,13 @@
 
     def on_items(self, link: Link, message: Items) -> None:
         """Merge items; a bulk item that is known already prunes the link from the tree."""
-        known_bulk = 0
         for entry in message.entries:
             item = entry.item()
             new = self.spread(item, link)
-            if not new and self._store.class_of(item.kind) is not ItemClass.URGENT:
-                known_bulk += 1
-        if known_bulk == len(message.entries) and link.eager and self._other_eager(link):
+            if self._store.class_of(item.kind) is not ItemClass.URGENT:
+                link.repeats = max(0, link.repeats + (-1 if new else 1))
+        if link.repeats >= _REPEATS_TO_PRUNE and link.eager and self._other_eager(link):
+            link.repeats = 0
             link.eager = False
             link.post(Prune())
 
@@ -165,7 +188,7 @@
     def _send_on(self, link: Link, item: SpreadItem, item_class: ItemClass) -> None:
         if item_class is not ItemClass.URGENT:
             if link.eager:
-                link.post_item(item)
+                link.post_item(item, bulk=True)
             return
         if len(item.body) <= _PUSHED_BODY_BYTES:
             link.post_item(item)
--- a/src/verbenawind/standins/scene.py
+++ b/src/verbenawind/standins/scene.py
@@ -1,15 +1,21 @@
 """Trainers, callers and operators around a world, all watched by the oracle."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine
+from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine, Sequence
 from random import Random
 from typing import Any, TypeVar
 
 import msgspec
 
 from verbenawind import ids
-from verbenawind.document import EnvironmentDocument, EnvironmentRevision, Stage, TrainerSpec
-from verbenawind.errors import VerbenawindError
+from verbenawind.document import (
+    CallerKind,
+    EnvironmentDocument,
+    EnvironmentRevision,
+    Stage,
+    TrainerSpec,
+)
+from verbenawind.errors import CursorConflict, VerbenawindError
 from verbenawind.kernel.messages import (
     EngineEvent,
     GenerateRequest,
@@ -64,17 +70,27 @@
         seed: Seed of all randomness, that of identifiers too.
         document: The environment document, accepted on start.
         daemons: How many daemons run, one availability zone after another.
+        regions: The regions, each with one availability zone.
     """
 
-    def __init__(self, seed: int, document: EnvironmentDocument, *, daemons: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        document: EnvironmentDocument,
+        *,
+        daemons: int = 3,
+        regions: Sequence[str] = ("bangkok", "chiang-mai", "hat-yai"),
+    ) -> None:
         _seed_identifiers(seed)
-        self.world = World(seed)
+        self.world = World(seed, regions)
         self.clock = self.world.clock
         self.oracle = Oracle()
         self.document = document
         self.daemon_ids = [f"daemon-{index}" for index in range(daemons)]
         self.trainers = {spec.name: TrainerState(spec) for spec in document.trainers}
-        self.events: list[tuple[float, str]] = []
+        self._caller = next(
+            (spec.name for spec in document.callers if spec.kind is CallerKind.APPLICATION), "none"
+        )
         self._revision: EnvironmentRevision | None = None
         self._calls: dict[str, set[asyncio.Task[Any]]] = {}
         self._background: set[asyncio.Task[Any]] = set()
@@ -125,19 +141,20 @@
         await self.world.daemons[daemon_id].kill()
 
     async def stop_daemon(self, index: int) -> None:
-        """Shut a daemon down gracefully, as its HTTP server would: in-flight calls end first."""
+        """Shut a daemon down gracefully; what is still in flight at its end is interrupted."""
         daemon_id = self.daemon_ids[index]
         core = self.world.daemons[daemon_id]
         if daemon_id not in self._calls or not core.ready:
             return
         core.ready = False
-        calls = list(self._calls[daemon_id])
-        if calls:
-            _, pending = await asyncio.wait(calls, timeout=QUIET_BOUND_S)
-            for call in pending:
-                self.oracle.interrupted(call.get_name(), "never ended")
-        self._calls.pop(daemon_id, None)
+        trainers = [call for call in self._calls[daemon_id] if _is_trainers(call.get_name())]
+        if trainers:
+            await asyncio.wait(trainers, timeout=QUIET_BOUND_S)
+        await core.dispatcher.drain()
         await core.stop()
+        for call in list(self._calls.pop(daemon_id, ())):
+            self.oracle.interrupted(call.get_name(), f"{daemon_id} stopped before it ended")
+            call.cancel()
 
     def running(self, index: int) -> bool:
         """Return whether a daemon takes calls."""
@@ -170,6 +187,10 @@
             answer: PollResponse = await self._call(
                 index, f"poll {trainer}", core.rollouts.poll(self.revision, state.spec, request)
             )
+        except CursorConflict as error:
+            if request.cursor == state.cursor:
+                state.cursor = error.acknowledged_cursor
+            return None
         except (Lost, VerbenawindError):
             return None
         if lose or request.cursor != state.cursor:
@@ -221,14 +242,16 @@
 
     # Callers.
 
-    def ask(self, index: int, prompt: str, *, max_tokens: int = 64) -> asyncio.Task[bool]:
+    def ask(
+        self, index: int, prompt: str, *, max_tokens: int = 64, model_name: str = ""
+    ) -> asyncio.Task[bool]:
         """Start a generation for an application caller; true when it was answered."""
         self._next_request += 1
-        model = self.document.models[0]
+        model = self.document.model(model_name) or self.document.models[0]
         request = GenerateRequest(
             request_id=f"ask-{self._next_request}",
             environment=self.revision.name,
-            caller="desk",
+            caller=self._caller,
             kind=WorkKind.APPLICATION,
             model=model.name,
             pool=model.pool,
@@ -240,15 +263,15 @@
         return self._start(self._ask(index, request))
 
     def book(
-        self, index: int, key: str, body: str, *, idempotent: bool = False
+        self, index: int, key: str, body: str, *, idempotent: bool = False, service: str = ""
     ) -> asyncio.Task[bool]:
         """Start a call to the plain service; true when it was answered."""
         self._next_request += 1
         request = ServiceRequest(
             request_id=f"book-{self._next_request}",
             environment=self.revision.name,
-            caller="desk",
-            service=self.document.services[0].name,
+            caller=self._caller,
+            service=(self.document.service(service) or self.document.services[0]).name,
             method="GET" if idempotent else "POST",
             path="/cards" if idempotent else "/bookings",
             query="",
@@ -455,7 +478,8 @@
 
     async def _book(self, index: int, request: ServiceRequest) -> bool:
         core = self.world.daemons[self.daemon_ids[index]]
-        spec = self.document.services[0]
+        spec = self.document.service(request.service)
+        assert spec is not None
         try:
             response: ServiceResponse = await self._call(
                 index, request.request_id, core.dispatcher.call_service(request, spec)
@@ -474,11 +498,19 @@
     return msgspec.structs.replace(document, trainer_idle_weight=idle_weight)
 
 
+def _is_trainers(call: str) -> bool:
+    """Return whether the HTTP server, and not the dispatcher, waits for a call."""
+    return not call.startswith(("ask-", "book-"))
+
+
 async def _gated(gate: Callable[[], Awaitable[None]], work: Coroutine[Any, Any, T]) -> T:
-    await gate()
-    result = await work
-    await gate()
-    return result
+    try:
+        await gate()
+        result = await work
+        await gate()
+        return result
+    finally:
+        work.close()
 
 
 async def _drain(events: AsyncGenerator[EngineEvent, None]) -> list[EngineEvent]:
