Move stragglers instead of drawing them again; count idle time and staleness

Cause: a sample on a slow engine held up its group although other engines had room. Ruled out: drawing again (biases to short samples, wastes tokens); export of KV caches (the attempt id of the next engine is made by routing; left open). Change: a request comes again with the same id and the move mark; routing continues its kept answer on another engine. Metrics of idle time and staleness are recorded by polls.

--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -107,6 +107,7 @@
             clients=outside.clients,
             clock=clock,
             rng=rng,
+            metrics=self.metrics,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
--- a/src/verbenawind/rollout/delivery.py
+++ b/src/verbenawind/rollout/delivery.py
@@ -1,5 +1,6 @@
 """Answers trainers' polls: records a delivery first, then sends it."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -16,6 +17,7 @@
     PollRequest,
     PollResponse,
 )
+from verbenawind.metrics import Metrics
 from verbenawind.rollout.plan import acknowledge, live_units, plan_delivery
 from verbenawind.rollout.records import (
     BatchRecord,
@@ -53,11 +55,13 @@
         clock: Time source.
         rng: Jitter of retries.
         on_waiting: Told when a trainer waits for samples; gets the holder's daemon id.
+        metrics: Counts idle time and staleness.
     """
 
     __slots__ = (
         "_clock",
         "_log",
+        "_metrics",
         "_objects",
         "_on_waiting",
         "_rng",
@@ -74,6 +78,7 @@
         clock: Clock,
         rng: Random,
         on_waiting: DemandListener,
+        metrics: Metrics,
     ) -> None:
         self._table = table
         self._objects = objects
@@ -81,6 +86,7 @@
         self._clock = clock
         self._rng = rng
         self._on_waiting = on_waiting
+        self._metrics = metrics
         self._stopping = False
         self._log = structlog.get_logger("rollout")
 
@@ -96,9 +102,11 @@
         if model is None:
             raise UnknownResource(f"environment {revision.name} has no model {trainer.model!r}")
         one = _OnePoll(self, revision, trainer, model, request)
-        started_s = self._clock.monotonic_s()
+        started_s, counted_s = self._clock.monotonic_s(), 0.0
         while True:
             waited_s = self._clock.monotonic_s() - started_s
+            self._metrics.add_trainer_idle(revision.name, trainer.name, waited_s - counted_s)
+            counted_s = waited_s
             last = waited_s >= request.wait_s or self._stopping
             try:
                 answer = await one.attempt(waited_s, last=last)
@@ -163,7 +171,10 @@
                 reason=plan.reason,
             )
         if plan.send:
-            return await self._answer(record or rows.delivery, rows)
+            answer = await self._answer(record or rows.delivery, rows)
+            if record is not None:
+                self._observe(answer, bound)
+            return answer
         await self._wait(rows, waited_s, last=last)
         return None
 
@@ -190,6 +201,17 @@
             whole_steps=record.whole_steps,
         )
 
+    def _observe(self, answer: PollResponse, bound: StalenessBound) -> None:
+        metrics, name, trainer = self._parts._metrics, self._revision.name, self._trainer.name
+        ages: Counter[int] = Counter()
+        for group in answer.groups:
+            oldest = [sample.oldest_version for sample in group.samples]
+            ages.update(max(0, bound.newest_version - version) for version in oldest)
+            superseded_at_s = bound.superseded_at_s(min(oldest))
+            age_s = 0.0 if superseded_at_s is None else bound.now_s - superseded_at_s
+            metrics.observe_group_age(name, trainer, age_s)
+        metrics.add_samples(name, trainer, ages)
+
     async def _groups(self, record: DeliveryRecord, rows: TrainerRows) -> list[DeliveredGroup]:
         wanted = {ordinal for ordinal, _ in live_units(rows.work, record, record.start, record.end)}
         groups: list[DeliveredGroup] = []
--- a/src/verbenawind/rollout/drafts.py
+++ b/src/verbenawind/rollout/drafts.py
@@ -1,6 +1,7 @@
 """Makes the samples of one unit: draws them, labels them, gives up on those that expire."""
 
 import asyncio
+from enum import Enum
 
 import structlog
 
@@ -18,6 +19,7 @@
 )
 from verbenawind.kernel.ports import Generator
 from verbenawind.kernel.rollouts import Sample, Sampling
+from verbenawind.rollout.stragglers import StreamProgress, StreamSpeeds
 from verbenawind.rollout.versions import VersionBook
 
 __all__ = ["Draft", "SampleMaker", "TokenCounts", "UnitJob", "sample_seed"]
@@ -96,6 +98,45 @@
         self.text.append(event.text)
 
 
+class _Ending(Enum):
+    """How a stream of one sample ended."""
+
+    WHOLE = "whole"
+    EXPIRED = "older than the staleness bound"
+    MOVED = "slower than half of the usual speed, and other engines have room"
+
+
+class _Run:
+    """One sample while it is made; a request id stands for one draw."""
+
+    __slots__ = (
+        "counted",
+        "deadline_s",
+        "draft",
+        "group",
+        "index",
+        "job",
+        "min_version",
+        "moves",
+        "request_id",
+    )
+
+    def __init__(self, job: UnitJob, group: int, index: int, deadline_s: float) -> None:
+        self.job = job
+        self.group = group
+        self.index = index
+        self.deadline_s = deadline_s
+        self.min_version = job.min_version
+        self.draft = Draft()
+        self.draw_anew()
+
+    def draw_anew(self) -> None:
+        """Forget the tokens so far."""
+        self.request_id = new_id("sample")
+        self.counted = 0
+        self.moves = 0
+
+
 class SampleMaker:
     """Draws samples on the engines that this daemon reaches.
 
@@ -104,17 +145,34 @@
         versions: The newest weight versions.
         clock: Time source.
         tokens: Where generated and wasted tokens are counted.
+        move_stragglers: Whether slow samples move to other engines.
     """
 
-    __slots__ = ("_clock", "_generator", "_log", "_tokens", "_versions")
+    __slots__ = (
+        "_clock",
+        "_generator",
+        "_log",
+        "_move_stragglers",
+        "_speeds",
+        "_tokens",
+        "_versions",
+    )
 
     def __init__(
-        self, generator: Generator, versions: VersionBook, clock: Clock, tokens: TokenCounts
+        self,
+        generator: Generator,
+        versions: VersionBook,
+        clock: Clock,
+        tokens: TokenCounts,
+        *,
+        move_stragglers: bool = True,
     ) -> None:
         self._generator = generator
         self._versions = versions
         self._clock = clock
         self._tokens = tokens
+        self._move_stragglers = move_stragglers
+        self._speeds = StreamSpeeds()
         self._log = structlog.get_logger("rollout")
 
     async def make(self, job: UnitJob) -> tuple[Sample, ...]:
@@ -126,44 +184,75 @@
         deadline_s = self._clock.monotonic_s() + job.timeout_s
         async with asyncio.TaskGroup() as tasks:
             made = [
-                tasks.create_task(self._sample(job, group, index, deadline_s))
+                tasks.create_task(self._sample(_Run(job, group, index, deadline_s)))
                 for group, index in job.members
             ]
         return tuple(task.result() for task in made)
 
-    async def _sample(self, job: UnitJob, group: int, index: int, deadline_s: float) -> Sample:
-        min_version = job.min_version
+    async def _sample(self, run: _Run) -> Sample:
         while True:
-            draft = Draft()
             try:
-                if await self._draw(job, group, index, deadline_s, min_version, draft):
-                    return _finished(job, group, index, draft)
-            except DeadlineExceeded:
-                self._tokens.wasted += len(draft.token_ids)
+                ending = await self._stream(run)
+            except (DeadlineExceeded, asyncio.CancelledError):
+                self._tokens.wasted += run.counted
                 raise
             except VerbenawindError as error:
-                self._note(job, group, index, draft, error.message)
-                if self._clock.monotonic_s() + _RETRY_S >= deadline_s:
-                    raise DeadlineExceeded(error.message) from error
-                min_version = 0
-                await self._clock.sleep(_RETRY_S)
-            except asyncio.CancelledError:
-                self._tokens.wasted += len(draft.token_ids)
-                raise
+                await self._retry_later(run, error)
+                continue
+            if ending is _Ending.WHOLE:
+                return _finished(run)
+            self._note(run, ending.value)
+            if ending is _Ending.EXPIRED:
+                self._tokens.wasted += run.counted
+                run.draw_anew()
+            else:
+                run.moves += 1
+
+    async def _retry_later(self, run: _Run, error: VerbenawindError) -> None:
+        """Wait before the same request goes on from the tokens that are held."""
+        self._note(run, error.message)
+        if self._clock.monotonic_s() + _RETRY_S >= run.deadline_s:
+            self._tokens.wasted += run.counted
+            raise DeadlineExceeded(error.message) from error
+        run.min_version = 0
+        await self._clock.sleep(_RETRY_S)
+
+    async def _stream(self, run: _Run) -> _Ending:
+        """Stream into a fresh draft; what a request held before comes again first."""
+        run.draft = Draft()
+        fresh_tokens, first_at_s = 0, 0.0
+        events = self._generator.generate(self._request(run))
+        try:
+            async for event in events:
+                if isinstance(event, GenerationEnded):
+                    run.draft.finish_reason = event.finish_reason
+                    continue
+                run.draft.add(event)
+                new_tokens = self._count(run)
+                if not self._may_still_be_delivered(run):
+                    return _Ending.EXPIRED
+                if not new_tokens:
+                    continue
+                now_s = self._clock.monotonic_s()
+                first_at_s = first_at_s or now_s
+                progress = StreamProgress(
+                    tokens=fresh_tokens, elapsed_s=now_s - first_at_s, moves=run.moves
+                )
+                fresh_tokens += new_tokens
+                if self._should_move(run, progress):
+                    return _Ending.MOVED
+        finally:
+            await events.aclose()
+        if not run.draft.spans:
+            raise BackendServerFailed(f"request {run.request_id} ended without a token")
+        self._learn(run, fresh_tokens, first_at_s)
+        return _Ending.WHOLE
 
-    async def _draw(
-        self,
-        job: UnitJob,
-        group: int,
-        index: int,
-        deadline_s: float,
-        min_version: int,
-        draft: Draft,
-    ) -> bool:
-        """Fill the draft; return False when it expired on the way."""
+    def _request(self, run: _Run) -> GenerateRequest:
+        job = run.job
         bound = self._versions.bound(job.environment, job.model, job.declared_version)
-        request = GenerateRequest(
-            request_id=new_id("sample"),
+        return GenerateRequest(
+            request_id=run.request_id,
             environment=job.environment,
             caller=job.caller,
             kind=WorkKind.ROLLOUT,
@@ -171,44 +260,47 @@
             pool=job.model.pool,
             prompt=job.prompt,
             max_tokens=job.sampling.max_tokens,
-            seed=sample_seed(job.sampling.seed, group, index),
+            seed=sample_seed(job.sampling.seed, run.group, run.index),
             temperature=job.sampling.temperature,
-            deadline_s=deadline_s,
-            min_version=max(min_version, bound.oldest_dispatchable()),
+            deadline_s=run.deadline_s,
+            min_version=max(run.min_version, bound.oldest_dispatchable()),
             expected_tokens=job.expected_tokens,
+            move=run.moves > 0,
         )
-        events = self._generator.generate(request)
-        try:
-            async for event in events:
-                if isinstance(event, GenerationEnded):
-                    draft.finish_reason = event.finish_reason
-                    continue
-                draft.add(event)
-                self._tokens.generated += len(event.token_ids)
-                if not self._may_still_be_delivered(job, draft):
-                    self._note(job, group, index, draft, "older than the staleness bound")
-                    return False
-        finally:
-            await events.aclose()
-        if not draft.spans:
-            raise BackendServerFailed(f"request {request.request_id} ended without a token")
-        return True
 
-    def _may_still_be_delivered(self, job: UnitJob, draft: Draft) -> bool:
-        oldest = draft.oldest_version
+    def _count(self, run: _Run) -> int:
+        """Count the draft's tokens that were not counted before and return how many."""
+        new_tokens = max(0, len(run.draft.token_ids) - run.counted)
+        run.counted += new_tokens
+        self._tokens.generated += new_tokens
+        return new_tokens
+
+    def _should_move(self, run: _Run, progress: StreamProgress) -> bool:
+        if not self._move_stragglers:
+            return False
+        pool = run.job.model.pool
+        return self._speeds.should_move(pool, progress, self._generator.free_slots(pool))
+
+    def _learn(self, run: _Run, tokens: int, first_at_s: float) -> None:
+        elapsed_s = self._clock.monotonic_s() - first_at_s
+        progress = StreamProgress(tokens=tokens, elapsed_s=elapsed_s, moves=run.moves)
+        self._speeds.learn(run.job.model.pool, progress)
+
+    def _may_still_be_delivered(self, run: _Run) -> bool:
+        oldest, job = run.draft.oldest_version, run.job
         bound = self._versions.bound(job.environment, job.model, job.declared_version)
         return oldest is None or bound.allows(oldest)
 
-    def _note(self, job: UnitJob, group: int, index: int, draft: Draft, reason: str) -> None:
-        self._tokens.wasted += len(draft.token_ids)
+    def _note(self, run: _Run, reason: str) -> None:
         self._log.info(
-            "sample_redrawn",
-            trainer=job.trainer,
-            step=job.step,
-            group=group,
-            index=index,
-            lost_tokens=len(draft.token_ids),
-            oldest_version=draft.oldest_version,
+            "sample_interrupted",
+            trainer=run.job.trainer,
+            step=run.job.step,
+            group=run.group,
+            index=run.index,
+            tokens=run.counted,
+            moves=run.moves,
+            oldest_version=run.draft.oldest_version,
             reason=reason,
         )
 
@@ -218,12 +310,13 @@
     return step_seed * _SEED_PER_STEP + group * _SEED_PER_GROUP + index
 
 
-def _finished(job: UnitJob, group: int, index: int, draft: Draft) -> Sample:
+def _finished(run: _Run) -> Sample:
+    job, draft = run.job, run.draft
     return Sample(
-        sample_id=sample_id(job.environment, job.trainer, job.step, group, index),
+        sample_id=sample_id(job.environment, job.trainer, job.step, run.group, run.index),
         step=job.step,
-        group=group,
-        index=index,
+        group=run.group,
+        index=run.index,
         generation=job.generation,
         text="".join(draft.text),
         token_ids=tuple(draft.token_ids),
--- a/src/verbenawind/rollout/service.py
+++ b/src/verbenawind/rollout/service.py
@@ -28,6 +28,7 @@
     StepSubmission,
     VersionAccepted,
 )
+from verbenawind.metrics import Metrics
 from verbenawind.rollout.acceptance import StepAcceptance
 from verbenawind.rollout.delivery import Poller
 from verbenawind.rollout.drafts import SampleMaker, TokenCounts
@@ -67,6 +68,7 @@
         clients: Clients of the scoring services.
         clock: Time source.
         rng: Jitter of retries.
+        metrics: Counts idle time and staleness.
         policy: Which policies are in use.
     """
 
@@ -82,6 +84,7 @@
         clients: BackendClients,
         clock: Clock,
         rng: Random,
+        metrics: Metrics | None = None,
         policy: RolloutPolicy | None = None,
     ) -> None:
         self._clock = clock
@@ -98,8 +101,17 @@
             clock=clock,
             rng=rng,
         )
-        self._poller = Poller(table, objects, self.versions, clock, rng, self._note_waiting)
-        maker = SampleMaker(generator, self.versions, clock, self.tokens)
+        self._poller = Poller(
+            table, objects, self.versions, clock, rng, self._note_waiting, metrics or Metrics()
+        )
+        policy = policy or RolloutPolicy()
+        maker = SampleMaker(
+            generator,
+            self.versions,
+            clock,
+            self.tokens,
+            move_stragglers=policy.move_stragglers,
+        )
         self._workforce = Workforce(maker, generator, peers, clock)
         self._parts = HolderParts(
             table=table,
@@ -111,7 +123,7 @@
             peers=peers,
             clock=clock,
             rng=rng,
-            policy=policy or RolloutPolicy(),
+            policy=policy,
             fleet=fleet,
         )
         self._holders: dict[tuple[str, str], StepHolder] = {}
--- a/src/verbenawind/routing/answers.py
+++ b/src/verbenawind/routing/answers.py
@@ -44,13 +44,23 @@
         digest: Of everything that must be the same when the request id comes again.
     """
 
-    __slots__ = ("digest", "ended", "size_bytes", "superseded", "token_ids", "tokens", "until_s")
+    __slots__ = (
+        "digest",
+        "ended",
+        "server_id",
+        "size_bytes",
+        "superseded",
+        "token_ids",
+        "tokens",
+        "until_s",
+    )
 
     def __init__(self, digest: str) -> None:
         self.digest = digest
         self.tokens: list[TokensGenerated] = []
         self.token_ids: list[int] = []
         self.ended: GenerationEnded | None = None
+        self.server_id: str | None = None
         self.size_bytes = 0
         self.superseded = False
         self.until_s = 0.0
@@ -75,6 +85,7 @@
     def continued(self) -> "Answer":
         """Return a copy for a new run and void this one."""
         copy = Answer(self.digest)
+        copy.server_id = self.server_id
         for event in self.tokens:
             copy.add(event)
         copy.ended = self.ended
--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -75,7 +75,7 @@
         self.request = request
         self.answer = answer
         self.fingerprint = fingerprint(request)
-        self.excluded: set[str] = set()
+        self.excluded = {answer.server_id} if request.move and answer.server_id else set()
         self.retry = 0
         self.dispatched = bool(answer.token_ids)
         self.crash_age_s = 0.0
@@ -311,6 +311,7 @@
         started_s = self._clock.monotonic_s()
         server_id = choice.server_id
         assert server_id is not None
+        run.answer.server_id = server_id
         wait_s = started_s - ticket.since_s
         self.stats.waited(run.request.kind, wait_s)
         self._metrics.observe_queue_wait(run.request.environment, run.request.kind, wait_s)
--- a/tests/rollout/test_stragglers.py
+++ b/tests/rollout/test_stragglers.py
@@ -70,3 +70,32 @@
             await scene.world.stop()
 
         run_virtual(scenario())
+
+
+class TestMoves:
+    def test_sample_leaves_a_slow_engine(self) -> None:
+        """Samples on an engine ten times slower go on elsewhere from the tokens they hold."""
+
+        async def scenario() -> None:
+            scene = Scene(document(), engines=3, daemons=1)
+            slow = EngineProfile(tick_s=0.4)
+            scene.world.add_engine("slow", "tuning", {"tuner": 0}, profile=slow)
+            await scene.start()
+            await scene.submit(submission(1, groups=16, max_tokens=400))
+            await scene.collect(64)
+            engines = scene.world.engines
+            elsewhere = {
+                name
+                for key, one in engines.items()
+                if key != "slow"
+                for name in one.started_request_ids
+            }
+            assert elsewhere & set(engines["slow"].started_request_ids)
+            for sample in scene.samples.values():
+                seed = sample.step * 1_000_003 + sample.group * 1009 + sample.index
+                prompt = f"s{sample.step} g{sample.group}"
+                assert len(sample.token_ids) == min(400, natural_length(prompt, seed))
+            assert scene.core().rollouts.tokens.wasted == 0
+            await scene.world.stop()
+
+        run_virtual(scenario())
