Resume moved samples from their tokens; use peers with fewer free slots than a group

Cause: routing stopped keeping answers of samples, so a moved sample was drawn from its first token (found by a stricter test: attempts elsewhere must hold tokens). Change: requests of samples say that they are resumable (one id is one draw; a whole answer is forgotten at once); a group goes to the peer with most free slots when there are more than here. Tests of mutations: routing's parts moved to runs.py; the labels' scenario published before the step, and new samples now wait for the swap, so it publishes while the step is half made, as its name says.

--- a/src/verbenawind/kernel/messages.py
+++ b/src/verbenawind/kernel/messages.py
@@ -160,7 +160,8 @@
     ``deadline_s`` is on the daemon's monotonic clock. ``min_version`` is the oldest weight
     version that may serve it, None when any may. ``environment`` is ``name/stage``.
     ``reconnect`` says that the caller sent the request before and wants the rest of its answer.
-    ``move`` says that a request that comes again shall leave the engine that it ran on.
+    ``resumable`` says that a sample that comes again under its id is the same draw, whose tokens
+    still count; ``move`` that it shall leave the engine that it ran on.
     """
 
     request_id: str
@@ -178,6 +179,7 @@
     min_version: int | None = None
     expected_tokens: int = 0
     reconnect: bool = False
+    resumable: bool = False
     move: bool = False
 
 
--- a/src/verbenawind/rollout/drafts.py
+++ b/src/verbenawind/rollout/drafts.py
@@ -265,6 +265,7 @@
             deadline_s=run.deadline_s,
             min_version=max(run.min_version, bound.oldest_dispatchable()),
             expected_tokens=job.expected_tokens,
+            resumable=True,
             move=run.moves > 0,
         )
 
--- a/src/verbenawind/rollout/workforce.py
+++ b/src/verbenawind/rollout/workforce.py
@@ -112,6 +112,7 @@
             reply = await self._peers.call(
                 peer_id, _GENERATE, msgspec.msgpack.encode(job), job.timeout_s + _CALL_MARGIN_S
             )
+            self._slots[slot] = self._slots.get(slot, 0) + len(job.members)
             return msgspec.msgpack.decode(reply, type=tuple[Sample, ...])
         except PeerUnreachable as error:
             self._slots.pop(slot, None)
@@ -124,10 +125,10 @@
         free = {
             peer_id: self._slots.get((peer_id, pool), 0)
             for peer_id in self._helpers()
-            if self._slots.get((peer_id, pool), 0) >= wanted
+            if self._slots.get((peer_id, pool), 0) > here
         }
         best = max(free, key=lambda peer_id: (free[peer_id], peer_id), default=None)
-        chosen = None if best is None or here >= wanted else best
+        chosen = None if here >= wanted else best
         self._log.info(
             "unit_placed",
             step=job.step,
--- a/src/verbenawind/routing/dispatcher.py
+++ b/src/verbenawind/routing/dispatcher.py
@@ -150,11 +150,13 @@
                 async for event in events:
                     yield event
         finally:
+            if request.kind is WorkKind.ROLLOUT and answer.ended is not None:
+                self._answers.forget(request, answer)
             self._answers.close(request, answer)
 
     async def _open(self, request: GenerateRequest) -> Answer:
-        """Return the answer to continue; a sample is always drawn anew, so none is kept."""
-        if request.kind is WorkKind.ROLLOUT:
+        """Return the answer to continue; of samples only that of the same draw is kept."""
+        if request.kind is WorkKind.ROLLOUT and not request.resumable:
             return Answer("")
         return await self._answers.open(request)
 
--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -34,6 +34,7 @@
 CRASH_MARK = "[crash-engine]"
 LONG_MARK = "[long]"
 _LONG_FACTOR = 4
+_KEPT_ATTEMPTS = 1024
 
 
 def expected_token(model: str, version: int, prompt: str, seed: int, index: int) -> int:
@@ -178,6 +179,7 @@
         self.checks_fencing = checks_fencing
         self.fencing_number = 0
         self.started_request_ids: list[str] = []
+        self.attempts: deque[GenerationAttempt] = deque(maxlen=_KEPT_ATTEMPTS)
         self.starts: list[tuple[float, GenerationAttempt]] = []
         self.orders: list[EngineOrder] = []
         self.crashes = 0
@@ -207,6 +209,7 @@
         if attempt.model not in self._weights:
             raise AdmissionRefused(f"engine {self.server_id} has no model {attempt.model!r}")
         self.started_request_ids.append(attempt.request_id)
+        self.attempts.append(attempt)
         self.starts.append((self._clock.monotonic_s(), attempt))
         running = _Running(attempt)
         self._waiting.append(running)
--- a/tests/fuzz/test_mutations.py
+++ b/tests/fuzz/test_mutations.py
@@ -13,7 +13,7 @@
 from verbenawind.kernel.messages import EngineEvent, TokensGenerated
 from verbenawind.rollout import delivery, drafts, grades, plan
 from verbenawind.rollout.staleness import StalenessBound
-from verbenawind.routing import dispatcher
+from verbenawind.routing import dispatcher, runs
 from verbenawind.routing.claims import Claims
 from verbenawind.standins.engine import CRASH_MARK
 from verbenawind.standins.network import PLATFORM
@@ -25,13 +25,16 @@
 Patch = pytest.MonkeyPatch
 Scenario = Callable[[Scene], Awaitable[None]]
 
+_HALF_MADE_S = 0.4
+
 # Scenarios.
 
 
 async def step_under_a_swap(made: Scene) -> None:
     """A step is generated while a new version reaches the engines."""
-    await made.publish(0, "folders")
     await made.submit(0, "folders", step_of("folders", 1))
+    await made.clock.sleep(_HALF_MADE_S)
+    await made.publish(0, "folders")
     await made.quiet()
 
 
@@ -183,7 +186,7 @@
 
 def skip_the_end_mark(patch: Patch) -> None:
     """Take the end of a stream for the end of the answer."""
-    stream = dispatcher.stream
+    stream = runs.stream
 
     async def mutant(*args: Any) -> AsyncGenerator[EngineEvent, None]:
         events = stream(*args)
@@ -195,7 +198,7 @@
         finally:
             await events.aclose()
 
-    patch.setattr(dispatcher, "stream", mutant)
+    patch.setattr(runs, "stream", mutant)
 
 
 def restart_instead_of_resuming(patch: Patch) -> None:
@@ -213,7 +216,7 @@
 
 def claim_that_nothing_ran(patch: Patch) -> None:
     """Call every failed generation not run."""
-    patch.setattr(dispatcher._Run, "outcome", lambda _self: Outcome.NOT_RUN)
+    patch.setattr(runs.Run, "outcome", lambda _self: Outcome.NOT_RUN)
 
 
 def grant_every_claim(patch: Patch) -> None:
--- a/tests/rollout/test_stragglers.py
+++ b/tests/rollout/test_stragglers.py
@@ -90,7 +90,11 @@
                 if key != "slow"
                 for name in one.started_request_ids
             }
-            assert elsewhere & set(engines["slow"].started_request_ids)
+            moved = elsewhere & set(engines["slow"].started_request_ids)
+            assert moved
+            attempts = [one for engine in engines.values() for one in engine.attempts]
+            resumed = [one for one in attempts if one.held_token_ids]
+            assert {one.request_id for one in resumed} == moved
             for sample in scene.samples.values():
                 seed = sample.step * 1_000_003 + sample.group * 1009 + sample.index
                 prompt = f"s{sample.step} g{sample.group}"
