Judge limits by the engine's report too; mark an engine that refuses because it leaves

Cause: a busy daemon saw late first tokens, took them for the engines' queues and lowered its limits, so requests waited in it with places free. Change: the limit falls only while the engine reports no free place; tokens gather up to 150 ms. Ruled out: sleeping between reads.

--- a/src/verbenawind/plugins/engine_http.py
+++ b/src/verbenawind/plugins/engine_http.py
@@ -37,8 +37,8 @@
 _FENCED = 409
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
-_MAX_GATHER_S = 0.06
-_GATHER_PER_STREAM_S = 0.0002
+_MAX_GATHER_S = 0.15
+_GATHER_PER_STREAM_S = 0.0005
 
 
 class _Choice(msgspec.Struct):
--- a/src/verbenawind/routing/limits.py
+++ b/src/verbenawind/routing/limits.py
@@ -13,7 +13,8 @@
     """How many requests this daemon keeps on one engine.
 
     The time to the first token, above the least one seen of late, is the engine's own queueing;
-    the limit falls when that exceeds a target and rises while it is used up. Above its even
+    the limit falls when that exceeds a target while the engine reports no free place, and
+    rises while it is used up. Above its even
     share a daemon only borrows: it goes on while the engine reports free places.
 
     Args:
@@ -24,6 +25,7 @@
         "_base_s",
         "_ceiling",
         "_decreased_at_s",
+        "_has_places",
         "_previous_base_s",
         "_share",
         "_value",
@@ -34,6 +36,7 @@
         self._share = 1.0
         self._ceiling = 1.0
         self._value: float | None = None
+        self._has_places = False
         self._base_s = float("inf")
         self._previous_base_s = float("inf")
         self._window_at_s = now_s
@@ -58,11 +61,12 @@
         """
         self._share = max(1.0, capacity / users)
         self._ceiling = float(capacity)
+        self._has_places = waiting == 0 and running < capacity * _BUSY_FRACTION
         if self._value is None:
             return
         if waiting > 0 and self._value > self._share:
             self._value = max(self._share, self._value * _DECREASE)
-        elif waiting == 0 and rising and running < capacity * _BUSY_FRACTION:
+        elif rising and self._has_places:
             self._value = min(self._ceiling, max(self._value, self._share) + 1.0)
 
     def observe_start(self, start_s: float, now_s: float, *, used_up: bool) -> None:
@@ -71,7 +75,9 @@
         self._base_s = min(self._base_s, start_s)
         base_s = min(self._base_s, self._previous_base_s)
         value = self._share if self._value is None else self._value
-        if start_s - base_s > max(_QUEUEING_TARGET_S, base_s):
+        late = start_s - base_s > max(_QUEUEING_TARGET_S, base_s)
+        # With free places on the engine the delay is this daemon's own or the prompt's length.
+        if late and not self._has_places:
             if now_s - self._decreased_at_s >= _DECREASE_PERIOD_S:
                 self._decreased_at_s = now_s
                 self._value = max(1.0, min(value, self._ceiling) * _DECREASE)
--- a/src/verbenawind/routing/runs.py
+++ b/src/verbenawind/routing/runs.py
@@ -217,6 +217,8 @@
         if isinstance(error, AdmissionRefused):
             pool.refuse(server_id)
             self._fleet.suspect(server_id, error.retry_after_s or _REFUSED_S)
+            # The engine's report says whether it refuses because it leaves.
+            await self._crashes.diagnose(view)
             return
         self._fleet.suspect(server_id, _SUSPECT_SERVER_S)
         if not isinstance(error, BackendServerFailed) or run.answer.superseded:
--- a/tests/routing/test_decisions.py
+++ b/tests/routing/test_decisions.py
@@ -110,6 +110,7 @@
     def test_queueing_in_the_engine_lowers_it(self) -> None:
         """Late first tokens lower the limit, and prompt ones raise it to the share again."""
         limit = self.limit()
+        limit.divide(capacity=16, users=2.0, running=16, waiting=2, rising=False)
         limit.observe_start(0.05, 1.0, used_up=True)
         for at_s in range(2, 10):
             limit.observe_start(1.0, float(at_s), used_up=True)
@@ -118,6 +119,14 @@
             limit.observe_start(0.05, at_s / 10 + 10, used_up=True)
         assert lowered <= 3 and limit.slots() == 8
 
+    def test_delay_with_free_places_is_not_the_engines(self) -> None:
+        """Late first tokens of an engine that reports free places do not lower the limit."""
+        limit = self.limit()
+        limit.observe_start(0.05, 1.0, used_up=True)
+        for at_s in range(2, 10):
+            limit.observe_start(1.0, float(at_s), used_up=True)
+        assert limit.slots() == 8
+
     def test_borrows_free_places_and_gives_them_back(self) -> None:
         """Above its share a daemon follows the engine's reports of free places and of queues."""
         limit = self.limit()
--- a/tests/routing/test_generations.py
+++ b/tests/routing/test_generations.py
@@ -334,6 +334,23 @@
 
         scenario(work)
 
+    def test_refusal_of_a_leaving_engine_marks_it(self) -> None:
+        """The first request that a leaving engine refuses goes elsewhere and marks it at once."""
+
+        async def work(world: World) -> None:
+            (core,) = await start(world, engines=2)
+            await run(core, ask(core))
+            first = next(engine for engine in world.engines.values() if engine.started_request_ids)
+            first.leaving = True
+            events = core.dispatcher.generate(ask(core, "again"))
+            await anext(events)
+            view = core.fleet.view(first.server_id)
+            assert view is not None and view.leaving
+            assert "again" not in first.started_request_ids
+            await events.aclose()
+
+        scenario(work)
+
     def test_queued_request_avoids_an_engine_that_leaves(self) -> None:
         """A request that waits in the queue is not given to an engine marked meanwhile."""
 
