--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -32,6 +32,9 @@
 _VOCABULARY = 50_000
 _BLOCK_CHARACTERS = 64
 CRASH_MARK = "[crash-engine]"
+LONG_MARK = "[long]"
+_LONG_FACTOR = 4
+_KEPT_ATTEMPTS = 1024
 
 
 def expected_token(model: str, version: int, prompt: str, seed: int, index: int) -> int:
@@ -40,7 +43,12 @@
 
 
 def natural_length(prompt: str, seed: int, median_tokens: int = 48, sigma: float = 0.8) -> int:
-    """Return the heavy-tailed length at which a generation ends by itself, in tokens."""
+    """Return the heavy-tailed length at which a generation ends by itself, in tokens.
+
+    Prompts with LONG_MARK have longer answers.
+    """
+    if LONG_MARK in prompt:
+        median_tokens *= _LONG_FACTOR
     normal = Random(f"{prompt}|{seed}").gauss(0.0, sigma)
     return max(1, round(median_tokens * math.exp(normal)))
 
@@ -171,6 +179,7 @@
         self.checks_fencing = checks_fencing
         self.fencing_number = 0
         self.started_request_ids: list[str] = []
+        self.attempts: deque[GenerationAttempt] = deque(maxlen=_KEPT_ATTEMPTS)
         self.starts: list[tuple[float, GenerationAttempt]] = []
         self.orders: list[EngineOrder] = []
         self.crashes = 0
@@ -200,6 +209,7 @@
         if attempt.model not in self._weights:
             raise AdmissionRefused(f"engine {self.server_id} has no model {attempt.model!r}")
         self.started_request_ids.append(attempt.request_id)
+        self.attempts.append(attempt)
         self.starts.append((self._clock.monotonic_s(), attempt))
         running = _Running(attempt)
         self._waiting.append(running)
