--- a/src/verbenawind/api/completion_answers.py
+++ b/src/verbenawind/api/completion_answers.py
@@ -92,11 +92,12 @@
     """Return the body of a whole answer; raises what the generation raises."""
     pieces = []
     ended: tuple[str, int] | None = None
-    async for piece in answer_text(events, stops):
-        if isinstance(piece, str):
-            pieces.append(piece)
-        else:
-            ended = piece
+    async with aclosing(answer_text(events, stops)) as parts:
+        async for part in parts:
+            if isinstance(part, str):
+                pieces.append(part)
+            else:
+                ended = part
     if ended is None:
         raise StreamTruncated("the generation ended without its end mark")
     return form.whole("".join(pieces), *ended)
@@ -131,8 +132,6 @@
             raise
         on_failure(error)
         yield _error_event(error)
-    finally:
-        await events.aclose()
 
 
 async def answer_text(
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 from functools import partial
 from random import Random
 
@@ -12,7 +13,7 @@
 from verbenawind.api import EXPLAIN_CALL, ApiServices, answer_explain_call, build_app
 from verbenawind.clock import SystemClock
 from verbenawind.decisions import DecisionRecord, record_decisions_in
-from verbenawind.errors import StoreUnavailable
+from verbenawind.errors import SettingsInvalid, StoreUnavailable
 from verbenawind.http_server import HttpServer
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import Location
@@ -37,6 +38,8 @@
 
 __all__ = ["Core", "Daemon", "connect_outside", "run"]
 
+_EXIT_SETTINGS_INVALID = 2
+_FIRST_VIEW_S = 3.0
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
 
 
@@ -107,6 +110,7 @@
             clients=outside.clients,
             clock=clock,
             rng=rng,
+            metrics=self.metrics,
         )
         self.weights = WeightsController(
             fleet=self.fleet,
@@ -137,12 +141,21 @@
         """Begin working; the daemon is ready once it has a view of the configuration."""
         self.configuration.subscribe(self.rollouts.apply)
         await self.peers.start()
-        await self._refresh_configuration()
-        await self.watcher.refresh()
+        await self._first_view()
         for work in (self.watcher.run(), self.weights.run(), self.configuration.run()):
             self._tasks.append(asyncio.get_running_loop().create_task(work))
         self.ready = True
 
+    async def _first_view(self) -> None:
+        """Ask the platform, but start without its answer when it is slow: peers may know."""
+        loop = asyncio.get_running_loop()
+        asked = [
+            loop.create_task(self._refresh_configuration()),
+            loop.create_task(self.watcher.refresh()),
+        ]
+        self._tasks += asked
+        await asyncio.wait(asked, timeout=_FIRST_VIEW_S)
+
     async def stop(self) -> None:
         """Give back leases and stop working."""
         self.ready = False
@@ -220,6 +233,7 @@
             int(port),
             max_connections=settings.limits.max_connections,
             header_timeout_s=settings.limits.header_timeout_s,
+            write_timeout_s=settings.limits.write_timeout_s,
         )
 
     @property
@@ -240,7 +254,7 @@
         self.core.ready = False
         await self.core.outside.clock.sleep(self.core.settings.unready_grace_s)
         self._guard.draining = True
-        await self._server.stop()
+        await asyncio.gather(self._server.stop(), self.core.rollouts.stop())
         await self.core.dispatcher.drain()
         await self.core.stop()
         if self._recording is not None:
@@ -295,7 +309,11 @@
 
 
 def _main(_: list[str]) -> None:
-    settings = load_settings(_SETTINGS.value)
+    try:
+        settings = load_settings(_SETTINGS.value)
+    except SettingsInvalid as error:
+        print(f"verbenawindd: {error.message}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS_INVALID)
     configure_logs(settings.log_level, daemon_id=settings.daemon_id)
     asyncio.run(serve(settings))
 
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -29,16 +29,28 @@
 
 
 class _Protocol(H11Protocol):
-    """Answers malformed input in JSON and closes connections whose request head is slow."""
+    """Limits connections, closes those that send or read too slowly, and answers in JSON."""
 
-    def __init__(self, *args: Any, header_timeout_s: float, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        header_timeout_s: float,
+        write_timeout_s: float,
+        max_connections: int | None,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._write_timeout_s = write_timeout_s
+        self._write_timer: asyncio.TimerHandle | None = None
+        self._max_connections = max_connections
         self._header_timeout_s = header_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Give the first request head its time."""
+        """Give the first request head its time; refuse what comes beyond the limit."""
         super().connection_made(transport)  # type: ignore[arg-type]
+        if self._max_connections is not None and len(self.connections) > self._max_connections:
+            self.app = _refuse_connection
         self._head_timer = self.loop.call_later(self._header_timeout_s, self._head_is_late)
 
     def data_received(self, data: bytes) -> None:
@@ -51,10 +63,21 @@
             self._stop_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the timer."""
+        """Forget the timers."""
         self._stop_head_timer()
+        self._stop_write_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Give a reader that is behind its time; its answer holds a backend server."""
+        super().pause_writing()
+        self._write_timer = self.loop.call_later(self._write_timeout_s, self.transport.abort)
+
+    def resume_writing(self) -> None:
+        """Forget that the reader was behind."""
+        self._stop_write_timer()
+        super().resume_writing()
+
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP with the body that every error has."""
         self._answer(400, "invalid_request", msg)
@@ -66,13 +89,7 @@
             self._answer(408, "request_timeout", f"no whole request head within {limit_s} seconds")
 
     def _answer(self, status: int, code: str, message: str) -> None:
-        error = {
-            "message": message,
-            "code": code,
-            "type": "invalid_request_error",
-            "outcome": Outcome.NOT_RUN,
-        }
-        body = msgspec.json.encode({"error": error})
+        body = _error_body(code, "invalid_request_error", message)
         headers = [
             (b"content-type", b"application/json"),
             (b"content-length", str(len(body)).encode()),
@@ -87,12 +104,34 @@
                 self.transport.write(self.conn.send(event) or b"")
         self.transport.close()
 
+    def _stop_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
 
+async def _refuse_connection(_scope: Any, _receive: Any, send: Any) -> None:
+    body = _error_body("overloaded", "server_error", "too many connections are open")
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+        (b"retry-after", b"1"),
+        (b"connection", b"close"),
+    ]
+    await send({"type": "http.response.start", "status": 503, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+def _error_body(code: str, kind: str, message: str) -> bytes:
+    error = {"message": message, "code": code, "type": kind, "outcome": Outcome.NOT_RUN}
+    return msgspec.json.encode({"error": error})
+
+
 class HttpServer:
     """One listening HTTP server.
 
@@ -102,6 +141,7 @@
         port: TCP port, 0 for one that the kernel chooses.
         max_connections: Connections beyond this number are answered 503.
         header_timeout_s: A connection without a whole request head by then is closed.
+        write_timeout_s: A connection whose reader takes nothing for so long is closed.
     """
 
     __slots__ = ("_server", "_socket", "_task")
@@ -114,6 +154,7 @@
         *,
         max_connections: int | None = None,
         header_timeout_s: float = 10.0,
+        write_timeout_s: float = 30.0,
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -121,13 +162,17 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=partial(_Protocol, header_timeout_s=header_timeout_s),  # type: ignore[arg-type]
+            http=partial(  # type: ignore[arg-type]
+                _Protocol,
+                header_timeout_s=header_timeout_s,
+                write_timeout_s=write_timeout_s,
+                max_connections=max_connections,
+            ),
             ws="none",
             lifespan="off",
             log_config=None,
             log_level="warning",
             access_log=False,
-            limit_concurrency=max_connections,
             h11_max_incomplete_event_size=32 * 1024,
             server_header=False,
             proxy_headers=False,
--- a/src/verbenawind/routing/runs.py
+++ b/src/verbenawind/routing/runs.py
@@ -61,7 +61,8 @@
         self.request = request
         self.answer = answer
         self.fingerprint = fingerprint(request)
-        self.excluded: set[str] = set()
+        avoided = answer.server_id if request.move else None
+        self.excluded = {avoided} if avoided else set[str]()
         self.retry = 0
         self.dispatched = bool(answer.token_ids)
         self.crash_age_s = 0.0
@@ -151,6 +152,7 @@
         started_s = self._clock.monotonic_s()
         server_id = choice.server_id
         assert server_id is not None
+        run.answer.server_id = server_id
         wait_s = started_s - ticket.since_s
         self._stats.waited(run.request.kind, wait_s)
         self._metrics.observe_queue_wait(run.request.environment, run.request.kind, wait_s)
@@ -222,6 +224,8 @@
         if isinstance(error, AdmissionRefused):
             pool.refuse(server_id)
             self._fleet.suspect(server_id, error.retry_after_s or _REFUSED_S)
+            # The engine's report says whether it refuses because it leaves.
+            await self._crashes.diagnose(view)
             return
         self._fleet.suspect(server_id, _SUSPECT_SERVER_S)
         if not isinstance(error, BackendServerFailed) or run.answer.superseded:
