--- /dev/null
+++ b/src/verbenawind/adapter_names.py
@@ -0,0 +1,17 @@
+"""The names of adapters that documents may use."""
+
+from verbenawind.document import KnownAdapters
+from verbenawind.plugins.registries import ENGINE_ADAPTERS, SCORING_ADAPTERS, SERVICE_ADAPTERS
+
+__all__ = ["known_adapters"]
+
+
+def known_adapters() -> KnownAdapters:
+    """Return the names of every adapter that is registered."""
+    import verbenawind.plugins  # noqa: F401  # Its adapters register themselves on import.
+
+    return KnownAdapters(
+        engines=ENGINE_ADAPTERS.names(),
+        services=SERVICE_ADAPTERS.names(),
+        scoring_services=SCORING_ADAPTERS.names(),
+    )
