--- a/src/verbenawind/api/app.py
+++ b/src/verbenawind/api/app.py
@@ -31,7 +31,6 @@
             *operators.HANDLERS,
             *fleet.HANDLERS,
         ],
-        logging_config=None,
         exception_handlers={
             VerbenawindError: error_response,
             HTTPException: http_error_response,
@@ -39,6 +38,7 @@
         },
         state=State({"services": services}),
         request_max_body_size=services.settings.limits.max_body_bytes,
+        logging_config=None,  # The framework's own would start a thread for a queue of lines.
         openapi_config=OpenAPIConfig(title="verbenawind", version=_API_VERSION),
     )
     return RequestGuard(app, services)
--- a/src/verbenawind/standins/engine.py
+++ b/src/verbenawind/standins/engine.py
@@ -26,16 +26,26 @@
     TokensGenerated,
 )
 from verbenawind.standins.engine_profile import (
+    LONG_MARK,
     EngineFaults,
     EngineProfile,
     expected_token,
     natural_length,
 )
 
-__all__ = ["EngineFaults", "EngineProfile", "StandinEngine", "expected_token", "natural_length"]
+__all__ = [
+    "CRASH_MARK",
+    "LONG_MARK",
+    "EngineFaults",
+    "EngineProfile",
+    "StandinEngine",
+    "expected_token",
+    "natural_length",
+]
 
 _BLOCK_CHARACTERS = 64
 CRASH_MARK = "[crash-engine]"
+_KEPT_ATTEMPTS = 1024
 
 
 class _Running:
@@ -94,6 +104,7 @@
         self.checks_fencing = checks_fencing
         self.fencing_number = 0
         self.started_request_ids: list[str] = []
+        self.attempts: deque[GenerationAttempt] = deque(maxlen=_KEPT_ATTEMPTS)
         self.starts: list[tuple[float, GenerationAttempt]] = []
         self.orders: list[EngineOrder] = []
         self.crashes = 0
@@ -123,6 +134,7 @@
         if attempt.model not in self._weights:
             raise AdmissionRefused(f"engine {self.server_id} has no model {attempt.model!r}")
         self.started_request_ids.append(attempt.request_id)
+        self.attempts.append(attempt)
         self.starts.append((self._clock.monotonic_s(), attempt))
         running = _Running(attempt)
         self._waiting.append(running)
