Count idle time and staleness once, where samples are delivered

Cause: the rollout's delivery counts them now; the trainers' interface counted them a second time. Change: the interface's own counting is gone; the metrics test passes unchanged.

--- a/src/verbenawind/api/rollouts.py
+++ b/src/verbenawind/api/rollouts.py
@@ -1,6 +1,5 @@
 """The trainers' interface: steps, polls, versions and grades."""
 
-from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -19,7 +18,6 @@
     GradesAccepted,
     GradeSubmission,
     PollRequest,
-    PollResponse,
     PublishedVersion,
     StepSubmission,
 )
@@ -46,13 +44,8 @@
     services, revision, trainer = _trainer(request, environment, stage)
     asked = await decoded_body(request, PollRequest)
     check_poll(asked, services.settings.limits)
-    started_at_s = services.clock.monotonic_s()
     work = services.rollouts.poll(revision, trainer, asked)
-    answer = await until_disconnected(request.receive, work)
-    idle_s = services.clock.monotonic_s() - started_at_s
-    services.metrics.add_trainer_idle(revision.name, trainer.name, idle_s)
-    _count_samples(services, revision, trainer, asked, answer)
-    return json_response(answer)
+    return json_response(await until_disconnected(request.receive, work))
 
 
 @post(_BASE + "/versions", status_code=200, summary="Publish a weight version")
@@ -104,27 +97,6 @@
     return trainer
 
 
-def _count_samples(
-    services: ApiServices,
-    revision: EnvironmentRevision,
-    trainer: TrainerSpec,
-    asked: PollRequest,
-    answer: PollResponse,
-) -> None:
-    model = revision.document.model(trainer.model)
-    if model is None or not answer.groups:
-        return
-    bound = services.versions.bound(revision.name, model, asked.current_version)
-    counts: Counter[int] = Counter()
-    for group in answer.groups:
-        versions = [sample.oldest_version for sample in group.samples]
-        counts.update(max(0, bound.newest_version - version) for version in versions)
-        superseded_at_s = bound.superseded_at_s(min(versions))
-        age_s = 0.0 if superseded_at_s is None else bound.now_s - superseded_at_s
-        services.metrics.observe_group_age(revision.name, trainer.name, age_s)
-    services.metrics.add_samples(revision.name, trainer.name, counts)
-
-
 def _by_trainer(
     revision: EnvironmentRevision, caller: CallerSpec, submission: GradeSubmission
 ) -> Iterator[tuple[TrainerSpec, GradeSubmission]]:
--- a/src/verbenawind/api/services.py
+++ b/src/verbenawind/api/services.py
@@ -14,7 +14,6 @@
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.ports import Generator, PeerBus, RolloutService, ServiceCaller
 from verbenawind.metrics import Metrics
-from verbenawind.rollout.versions import VersionBook
 from verbenawind.settings import DaemonSettings
 from verbenawind.state import ConfigurationStore
 
@@ -30,7 +29,6 @@
         generator: Runs generations.
         service_caller: Routes calls to plain services.
         rollouts: The trainer's side.
-        versions: The published weight versions.
         fleet: The view of the backend servers.
         peers: The other daemons.
         decisions: The latest decision lines.
@@ -53,7 +51,6 @@
         "rollouts",
         "service_caller",
         "settings",
-        "versions",
     )
 
     def __init__(
@@ -64,7 +61,6 @@
         generator: Generator,
         service_caller: ServiceCaller,
         rollouts: RolloutService,
-        versions: VersionBook,
         fleet: Fleet,
         peers: PeerBus,
         decisions: DecisionRecord,
@@ -77,7 +73,6 @@
         self.generator = generator
         self.service_caller = service_caller
         self.rollouts = rollouts
-        self.versions = versions
         self.fleet = fleet
         self.peers = peers
         self.decisions = decisions
--- a/src/verbenawind/daemon.py
+++ b/src/verbenawind/daemon.py
@@ -216,7 +216,6 @@
             generator=recorder or self.core.dispatcher,
             service_caller=recorder or self.core.dispatcher,
             rollouts=recorder or self.core.rollouts,
-            versions=self.core.rollouts.versions,
             fleet=self.core.fleet,
             peers=self.core.peers,
             decisions=self.core.decisions,
