--- a/src/verbenawind/rollout/holder.py
+++ b/src/verbenawind/rollout/holder.py
@@ -33,6 +33,7 @@
 _LEASE_S = 45.0
 _LOOK_PERIOD_S = 0.5
 _TURN_PERIOD_S = 0.1
+_MIN_TURN_PERIOD_S = 0.02
 _ACQUIRE_PERIOD_S = 1.0
 _STORE_RETRY_S = 2.0
 _MAX_UNCOMMITTED_SAMPLES = 4096
@@ -130,6 +131,7 @@
     async def _rest(self) -> None:
         period_s = _TURN_PERIOD_S if self._is_held() else _ACQUIRE_PERIOD_S
         self._wake.clear()
+        await self._parts.clock.sleep(_MIN_TURN_PERIOD_S)
         waiting = asyncio.ensure_future(self._wake.wait())
         sleeping = asyncio.ensure_future(self._parts.clock.sleep(period_s))
         try:
--- a/src/verbenawind/rollout/workforce.py
+++ b/src/verbenawind/rollout/workforce.py
@@ -21,6 +21,7 @@
 _SLOTS_PERIOD_S = 1.0
 _MAX_HELPERS = 16
 _CALL_MARGIN_S = 5.0
+_SILENT_S = 10.0
 
 
 class _SlotsQuestion(Value, frozen=True, kw_only=True):
@@ -43,6 +44,7 @@
         "_asked_at_s",
         "_clock",
         "_generator",
+        "_heard_at_s",
         "_log",
         "_maker",
         "_peers",
@@ -60,6 +62,7 @@
         self._clock = clock
         self._slots: dict[tuple[str, str], int] = {}
         self._asked_at_s: dict[str, float] = {}
+        self._heard_at_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.serving = 0
         self._log = structlog.get_logger("rollout")
@@ -87,6 +90,7 @@
         try:
             reply = await self._peers.call(peer_id, _SLOTS, body, _SLOTS_TIMEOUT_S)
             self._slots[peer_id, pool] = msgspec.msgpack.decode(reply, type=int)
+            self._heard_at_s[peer_id] = self._clock.monotonic_s()
         except PeerUnreachable:
             self._slots.pop((peer_id, pool), None)
 
@@ -109,9 +113,7 @@
         slot = (peer_id, job.model.pool)
         self._slots[slot] = self._slots.get(slot, 0) - len(job.members)
         try:
-            reply = await self._peers.call(
-                peer_id, _GENERATE, msgspec.msgpack.encode(job), job.timeout_s + _CALL_MARGIN_S
-            )
+            reply = await self._call(peer_id, job)
             self._slots[slot] = self._slots.get(slot, 0) + len(job.members)
             return msgspec.msgpack.decode(reply, type=tuple[Sample, ...])
         except PeerUnreachable as error:
@@ -119,6 +121,33 @@
             self._log.warning("peer_lost_job", peer_id=peer_id, error=error.message)
             return await self._maker.make(job)
 
+    async def _call(self, peer_id: str, job: UnitJob) -> bytes:
+        """Have a peer make a job, as long as the peer is believed to be alive.
+
+        Raises:
+            PeerUnreachable: The peer is gone, or gave no reply.
+        """
+        body, timeout_s = msgspec.msgpack.encode(job), job.timeout_s + _CALL_MARGIN_S
+        loop = asyncio.get_running_loop()
+        calling = loop.create_task(self._peers.call(peer_id, _GENERATE, body, timeout_s))
+        watching = loop.create_task(self._until_gone(peer_id))
+        try:
+            await asyncio.wait({calling, watching}, return_when=asyncio.FIRST_COMPLETED)
+            if calling.done():
+                return calling.result()
+        finally:
+            calling.cancel()
+            watching.cancel()
+        raise PeerUnreachable(f"peer {peer_id!r} is gone (call {_GENERATE!r})")
+
+    async def _until_gone(self, peer_id: str) -> None:
+        """Return once a peer has left, or has not answered for some time."""
+        self._heard_at_s[peer_id] = self._clock.monotonic_s()
+        while any(peer.peer_id == peer_id for peer in self._peers.peers()):
+            if self._clock.monotonic_s() - self._heard_at_s[peer_id] > _SILENT_S:
+                return
+            await self._clock.sleep(_SLOTS_PERIOD_S)
+
     def _choose(self, job: UnitJob) -> str | None:
         pool, wanted = job.model.pool, len(job.members)
         here = self._generator.free_slots(pool)
--- a/src/verbenawind/standins/trainer_calls.py
+++ b/src/verbenawind/standins/trainer_calls.py
@@ -48,7 +48,7 @@
         await self._post("steps", submission)
 
     async def poll(self, request: PollRequest) -> PollResponse:
-        """Poll; a void cursor starts again from the start of what is not acknowledged."""
+        """Poll for what follows the cursor."""
         return msgspec.json.decode(await self._post("poll", request), type=PollResponse)
 
     async def publish(self, version: PublishedVersion) -> None:
--- a/tests/rollout/test_stragglers.py
+++ b/tests/rollout/test_stragglers.py
@@ -71,6 +71,24 @@
 
         run_virtual(scenario())
 
+    def test_peer_stands_still_with_its_share(self) -> None:
+        """A peer that is paused with a share of the step holds it up for a bounded time."""
+
+        async def scenario() -> None:
+            scene = await Scene(document(), engines=3, daemons=3).start()
+            await asyncio.sleep(5.0)
+            await scene.submit(submission(1, groups=128))
+            await asyncio.sleep(0.7)
+            holder = scene.holder_name()
+            paused = next(name for name in scene.world.daemons if name != holder)
+            scene.world.daemons.pop(paused)
+            scene.world.processes[paused].pause()
+            await scene.collect(512, limit_s=120.0)
+            scene.world.processes[paused].resume()
+            await scene.world.stop()
+
+        run_virtual(scenario())
+
 
 class TestMoves:
     def test_sample_leaves_a_slow_engine(self) -> None:
