Make the test of a leaving engine's refusal fail without the probe

The fleet's watcher marked the engine before the first token, so the test passed without the change it is for. The watcher is stopped in it now; without the probe it fails.

--- a/tests/routing/test_generations.py
+++ b/tests/routing/test_generations.py
@@ -341,6 +341,8 @@
             (core,) = await start(world, engines=2)
             await run(core, ask(core))
             first = next(engine for engine in world.engines.values() if engine.started_request_ids)
+            for task in core._tasks:
+                task.cancel()
             first.leaving = True
             events = core.dispatcher.generate(ask(core, "again"))
             await anext(events)
