Tighten routing's tests until each mechanism taken out fails one

Eight mechanisms were taken out one at a time on a scratch copy. Four were missed: the reserve, the length of the end mark, the takeover at the same daemon, and one trial at a time. Now all eight fail a test: applications find a free slot at every request under a flood, check_event and the turns of trials have their own tests, and the takeover is tried at both daemons.

--- a/tests/routing/test_decisions.py
+++ b/tests/routing/test_decisions.py
@@ -5,7 +5,14 @@
 import pytest
 
 from verbenawind.document import CallerKind, CallerSpec
-from verbenawind.errors import RateLimited
+from verbenawind.errors import BackendServerFailed, RateLimited, StreamTruncated
+from verbenawind.kernel.messages import (
+    GenerationAttempt,
+    GenerationEnded,
+    TokensGenerated,
+    WorkKind,
+)
+from verbenawind.routing.attempts import check_event
 from verbenawind.routing.callers import CallerLimits
 from verbenawind.routing.choice import Candidate, CrossingCost, Tier, choose_engine
 from verbenawind.routing.fair_queue import FairQueue
@@ -13,6 +20,7 @@
 from verbenawind.routing.rendezvous import PrefixTable, owner, top
 from verbenawind.routing.reserve import ApplicationReserve
 from verbenawind.routing.retries import RetryBudget, backoff_s
+from verbenawind.routing.trials import TrialAsk, _PoolTrials
 
 CROSSING = CrossingCost(
     size_bytes=1 << 20, price_per_gib=1.0, waiting_price_per_s=0.001, added_s=0.02
@@ -204,6 +212,70 @@
                 limits.enter("e", self.SPEC, 10, 10.0)
 
 
+class TestCheckEvent:
+    ATTEMPT = GenerationAttempt(
+        attempt_id="a", request_id="r", model="m", prompt="p", max_tokens=8, seed=1
+    )
+
+    def tokens(
+        self, *, attempt_id: str = "a", start: int = 2, version: int | None = 1
+    ) -> TokensGenerated:
+        """Return one token of the attempt."""
+        return TokensGenerated(
+            attempt_id=attempt_id, start=start, token_ids=(7,), text="x", version=version
+        )
+
+    def test_next_tokens_and_right_end_pass(self) -> None:
+        """Tokens at the position held and an end of that length continue the answer."""
+        end = GenerationEnded(attempt_id="a", token_count=2, finish_reason="stop")
+        check_event(self.ATTEMPT, self.tokens(), 2, WorkKind.ROLLOUT)
+        check_event(self.ATTEMPT, self.tokens(version=None), 2, WorkKind.APPLICATION)
+        check_event(self.ATTEMPT, end, 2, WorkKind.ROLLOUT)
+
+    def test_end_of_another_length_is_truncated(self) -> None:
+        """An end mark that counts more or fewer tokens than came is no whole answer."""
+        for count in (1, 3):
+            end = GenerationEnded(attempt_id="a", token_count=count, finish_reason="stop")
+            with pytest.raises(StreamTruncated):
+                check_event(self.ATTEMPT, end, 2, WorkKind.APPLICATION)
+
+    def test_foreign_repeated_skipped_and_unlabelled_tokens_fail(self) -> None:
+        """Another attempt's tokens, a gap, a repeat, and a sample's without version fail."""
+        for event in (
+            self.tokens(attempt_id="b"),
+            self.tokens(start=3),
+            self.tokens(start=1),
+            self.tokens(version=None),
+        ):
+            with pytest.raises(BackendServerFailed):
+                check_event(self.ATTEMPT, event, 2, WorkKind.ROLLOUT)
+
+
+class TestTrials:
+    def ask(self, trial_id: str, age_s: float) -> TrialAsk:
+        """Return one suspect's question."""
+        return TrialAsk(pool="p", fingerprint=trial_id, trial_id=trial_id, age_s=age_s)
+
+    def test_one_at_a_time_and_the_youngest_first(self) -> None:
+        """While one suspect runs no other does; then the one that had run the least is next."""
+        trials = _PoolTrials()
+        waiting = {"old": 9.0, "young": 0.1, "middle": 3.0}
+        order = []
+        for tick in range(1, 20):
+            now_s = tick / 10
+            granted = [
+                name for name, age_s in waiting.items() if trials.ask(self.ask(name, age_s), now_s)
+            ]
+            assert len(granted) <= 1
+            for name in granted:
+                others = [self.ask(other, waiting[other]) for other in waiting if other != name]
+                assert not any(trials.ask(other, now_s) for other in others)
+                order.append(name)
+                del waiting[name]
+                trials.end(name)
+        assert order == ["young", "middle", "old"]
+
+
 class TestRendezvous:
     def test_losing_a_member_moves_only_its_keys(self) -> None:
         """Keys of the members that stay keep their owner."""
--- a/tests/routing/test_generations.py
+++ b/tests/routing/test_generations.py
@@ -124,7 +124,8 @@
 
         scenario(work)
 
-    def test_reconnect_takes_over_a_running_stream(self) -> None:
+    @pytest.mark.parametrize("daemon", [0, 1])
+    def test_reconnect_takes_over_a_running_stream(self, daemon: int) -> None:
         """While the first connection still seems alive its reconnect gets all, and it an error."""
 
         async def work(world: World) -> None:
@@ -133,7 +134,7 @@
             old = asyncio.ensure_future(run(cores[0], request))
             await asyncio.sleep(0.2)
             again = GenerateRequest(**{**_fields(request), "reconnect": True})
-            answer = await run(cores[1], again)
+            answer = await run(cores[daemon], again)
             assert is_whole(answer, request)
             assert isinstance(await old, VerbenawindError)
             assert running(world) == 0
@@ -393,7 +394,7 @@
 
 class TestReserve:
     def test_applications_start_at_once_while_rollouts_flood(self) -> None:
-        """Under a flood of rollouts applications wait a fraction of a second, and rollouts run."""
+        """Under a flood of rollouts applications find a free slot, and every rollout is served."""
 
         async def work(world: World) -> None:
             profile = EngineProfile(max_running=8)
@@ -415,6 +416,8 @@
                 assert world.clock.monotonic_s() - started_s < 1.0
                 await events.aclose()
                 await asyncio.sleep(0.1)
+            waits_s = core.dispatcher.stats.waits_s[WorkKind.APPLICATION]
+            assert len(waits_s) == 20 and max(waits_s) == 0.0
             done = await asyncio.gather(*flood)
             assert all(
                 isinstance(answer, list) and isinstance(answer[-1], GenerationEnded)
