--- a/src/verbenawind/kernel/messages.py
+++ b/src/verbenawind/kernel/messages.py
@@ -160,6 +160,8 @@
     ``deadline_s`` is on the daemon's monotonic clock. ``min_version`` is the oldest weight
     version that may serve it, None when any may. ``environment`` is ``name/stage``.
     ``reconnect`` says that the caller sent the request before and wants the rest of its answer.
+    ``resumable`` says that a sample that comes again under its id is the same draw, whose tokens
+    still count; ``move`` that it shall leave the engine that it ran on.
     """
 
     request_id: str
@@ -177,6 +179,8 @@
     min_version: int | None = None
     expected_tokens: int = 0
     reconnect: bool = False
+    resumable: bool = False
+    move: bool = False
 
 
 class GenerationAttempt(Value, frozen=True, kw_only=True):
--- a/tests/fuzz/test_mutations.py
+++ b/tests/fuzz/test_mutations.py
@@ -25,13 +25,16 @@
 Patch = pytest.MonkeyPatch
 Scenario = Callable[[Scene], Awaitable[None]]
 
+_HALF_MADE_S = 0.4
+
 # Scenarios.
 
 
 async def step_under_a_swap(made: Scene) -> None:
     """A step is generated while a new version reaches the engines."""
-    await made.publish(0, "folders")
     await made.submit(0, "folders", step_of("folders", 1))
+    await made.clock.sleep(_HALF_MADE_S)
+    await made.publish(0, "folders")
     await made.quiet()
 
 
