--- a/tests/state/test_configuration.py
+++ b/tests/state/test_configuration.py
@@ -17,7 +17,10 @@
 
 
 def document(pool: str = "tuning") -> EnvironmentDocument:
-    return parse_document(f'{{"environment": "siam-fold", "pools": [{{"name": "{pool}"}}]}}')
+    models = f'[{{"name": "tuner", "pool": "{pool}"}}]'
+    return parse_document(
+        f'{{"environment": "siam-fold", "pools": [{{"name": "{pool}"}}], "models": {models}}}'
+    )
 
 
 def run_world(
