--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,6 +2,7 @@
 
 import functools
 import importlib
+import logging
 import os
 import pkgutil
 import platform
@@ -109,7 +110,8 @@
 
 
 def _main(_: list[str]) -> None:
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    logging.disable(logging.CRITICAL)
     results = run_all(
         find_benches(_ONLY.value),
         _SEED.value,
