Keep the outcome of earlier attempts of a service call

Cause: an idempotent call whose first attempt lost its answer, and whose next found no host, was refused with the last attempt's outcome, not_run, though it had run. Found by reading. Ruled out: generations, whose Run keeps its outcome over attempts. Change: not_run is said only when every attempt was not run. The new test fails without the change and passes with it.

--- a/src/verbenawind/routing/services.py
+++ b/src/verbenawind/routing/services.py
@@ -14,6 +14,7 @@
     DeadlineExceeded,
     InvalidRequest,
     Outcome,
+    VerbenawindError,
 )
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import ServiceRequest, ServiceResponse
@@ -85,7 +86,7 @@
     async def _call_idempotent(self, request: ServiceRequest, spec: ServiceSpec) -> ServiceResponse:
         budget = self._retries.setdefault(spec.name, RetryBudget(self._clock.monotonic_s()))
         budget.deposit(_RETRY_FRACTION)
-        retry, sent = 0, False
+        retry, sent, known = 0, False, Outcome.NOT_RUN
         while True:
             try:
                 async with asyncio.timeout(self._sender.remaining_s(request)):
@@ -99,9 +100,19 @@
                     outcome=Outcome.MAY_HAVE_RUN if sent else Outcome.NOT_RUN,
                 ) from error
             except (AdmissionRefused, BackendServerUnreachable, BackendServerFailed) as error:
+                known = _after(known, error.outcome)
                 if not budget.withdraw(self._clock.monotonic_s()):
+                    error.outcome = known
                     raise
                 self._log.info("call_retried", request_id=request.request_id, error=error.message)
+            except VerbenawindError as error:
+                error.outcome = _after(known, error.outcome)
+                raise
             wait_s = backoff_s(retry, self._rng)
             retry += 1
             await self._clock.sleep(min(wait_s, self._sender.remaining_s(request)))
+
+
+def _after(earlier: Outcome, last: Outcome) -> Outcome:
+    """Return what is known of a request after another attempt; all of them must not have run."""
+    return last if earlier is Outcome.NOT_RUN else earlier
--- a/tests/routing/test_services.py
+++ b/tests/routing/test_services.py
@@ -116,6 +116,25 @@
 
         scenario(work)
 
+    def test_refusal_after_a_lost_answer_is_not_called_not_run(self) -> None:
+        """A call that ran once and was then refused everywhere may have run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world, hosts=1)
+            host = world.services["orders-0"]
+            host.lose_next_answers = 1
+            call = asyncio.create_task(
+                outcome(cores[0].dispatcher.call_service(booking(cores[0], idempotent=True), SPEC))
+            )
+            await asyncio.sleep(host.answer_s / 2)
+            cores[0].fleet.mark_leaving("orders-0", 1)
+            error = await call
+            assert runs(world) == 1
+            assert isinstance(error, VerbenawindError)
+            assert error.outcome is Outcome.MAY_HAVE_RUN
+
+        scenario(work)
+
 
 class TestAtMostOnce:
     def test_key_is_required(self) -> None:
