--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -13,6 +13,9 @@
 from litestar.types import Scope
 
 from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    BackendServerUnreachable,
     CallerDisconnected,
     ConditionFailed,
     CursorConflict,
@@ -24,8 +27,10 @@
     HeadersTooLarge,
     IdempotencyKeyReused,
     InvalidRequest,
+    LeaseLost,
     NoBackendServer,
     Outcome,
+    OutcomeUnknown,
     Overloaded,
     RateLimited,
     RequestConvicted,
@@ -146,7 +151,16 @@
     return 429
 
 
+@http_status.register(BackendServerFailed)
+@http_status.register(OutcomeUnknown)
+def _(_: VerbenawindError) -> int:
+    return 502
+
+
+@http_status.register(AdmissionRefused)
+@http_status.register(BackendServerUnreachable)
 @http_status.register(Draining)
+@http_status.register(LeaseLost)
 @http_status.register(NoBackendServer)
 @http_status.register(Overloaded)
 @http_status.register(StoreUnavailable)
