--- a/src/verbenawind/routing/attempts.py
+++ b/src/verbenawind/routing/attempts.py
@@ -76,7 +76,7 @@
             except TimeoutError as error:
                 raise DeadlineExceeded(
                     f"request {request.request_id} passed its deadline while generating",
-                    outcome=Outcome.RAN,
+                    outcome=Outcome.RAN if answer.token_ids else Outcome.MAY_HAVE_RUN,
                 ) from error
             if event is None:
                 raise StreamTruncated(f"attempt {attempt.attempt_id} ended without its end mark")
--- a/tests/routing/test_generations.py
+++ b/tests/routing/test_generations.py
@@ -219,6 +219,41 @@
 
         scenario(work)
 
+    def test_refusal_after_a_cut_before_the_first_token_may_have_run(self) -> None:
+        """A request that reached an engine, was cut off and found no other may have run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world, engines=1, daemons=2)
+            near, far = (location.zone for location in world.locations)
+            request = ask(cores[1], timeout_s=3.0)
+            answer = asyncio.create_task(run(cores[1], request))
+            await asyncio.sleep(0.02)
+            assert starts(world, request.request_id) == 1
+            world.network.cut(near, far)
+            error = await answer
+            assert isinstance(error, VerbenawindError)
+            assert error.outcome is Outcome.MAY_HAVE_RUN
+
+        scenario(work, regions=("bangkok", "hat-yai"))
+
+    def test_refusal_for_lack_of_another_engine_may_have_run(self) -> None:
+        """A request that an engine took and lost, and that no other can take, may have run."""
+
+        async def work(world: World) -> None:
+            cores = await start(world, engines=1, daemons=2)
+            near, far = (location.zone for location in world.locations)
+            request = ask(cores[1])
+            answer = asyncio.create_task(run(cores[1], request))
+            await asyncio.sleep(0.02)
+            assert starts(world, request.request_id) == 1
+            world.network.cut(near, far)
+            cores[1].fleet.mark_leaving("engine-0", 1)
+            error = await answer
+            assert isinstance(error, NoBackendServer)
+            assert error.outcome is Outcome.MAY_HAVE_RUN
+
+        scenario(work, regions=("bangkok", "hat-yai"))
+
     def test_passed_deadline_is_refused_before_dispatch(self) -> None:
         """A request that arrives after its deadline is never handed to an engine."""
 
