--- a/src/verbenawind/routing/runs.py
+++ b/src/verbenawind/routing/runs.py
@@ -137,10 +137,6 @@
                     held_tokens=len(run.answer.token_ids),
                     retry_in_s=round(wait_s, 4),
                 )
-            except VerbenawindError as error:
-                if error.outcome is Outcome.NOT_RUN:
-                    error.outcome = run.outcome()
-                raise
             finally:
                 await self._end_trial(run)
             await self._clock.sleep(max(0.0, min(wait_s, self._remaining_s(request))))
