Keep rendezvous hashing in one place

Cause: routing, membership and weights each ranked members by hash on their own. Change: one module in the kernel; routing keeps its table of prefix slots under a name that says so.

--- a/src/verbenawind/membership/servers.py
+++ b/src/verbenawind/membership/servers.py
@@ -20,9 +20,9 @@
     Location,
 )
 from verbenawind.kernel.ports import HostList, SpreadItem
+from verbenawind.kernel.rendezvous import top
 from verbenawind.membership.bus import GossipBus
 from verbenawind.membership.dialling import Seed
-from verbenawind.membership.topology import rendezvous
 
 __all__ = ["LEAVING_KIND", "ServerDirectory"]
 
@@ -107,7 +107,7 @@
         if len(ids) <= _SHOWN_TO_OTHER_ZONES:
             return True
         key = f"{server.location.zone}/{server.group}"
-        return server.server_id in rendezvous(key, ids, _SHOWN_TO_OTHER_ZONES)
+        return server.server_id in top(key, ids, _SHOWN_TO_OTHER_ZONES)
 
     def cares_for(self, zone: str) -> bool:
         """Return whether this daemon speaks for a zone: its own, or one without daemons."""
@@ -142,7 +142,7 @@
     def _period_s(self) -> float:
         own_id, zone = self._peers.peer_id, self._fleet.location.zone
         daemons = [*self._peers.roster.by_zone().get(zone, ()), own_id]
-        if own_id in rendezvous(f"hosts/{zone}", daemons, _READERS_PER_ZONE):
+        if own_id in top(f"hosts/{zone}", daemons, _READERS_PER_ZONE):
             return _READER_PERIOD_S
         return _OTHERS_PERIOD_S
 
--- a/src/verbenawind/membership/topology.py
+++ b/src/verbenawind/membership/topology.py
@@ -4,18 +4,14 @@
 
 import xxhash
 
-__all__ = ["bridge_targets", "rendezvous", "zone_targets"]
+from verbenawind.kernel.rendezvous import top
+
+__all__ = ["bridge_targets", "zone_targets"]
 
 _SUCCESSORS = 2
 _BRIDGES_PER_ZONE_PAIR = 2
 
 
-def rendezvous(key: str, candidates: Iterable[str], count: int) -> Sequence[str]:
-    """Return the *count* candidates that rank first for *key*, the same on every daemon."""
-    ranked = sorted(candidates, key=lambda name: (_hash(f"{key}\0{name}"), name))
-    return ranked[:count]
-
-
 def zone_targets(own_id: str, zone_ids: Iterable[str]) -> Sequence[str]:
     """Return the zone's daemons that *own_id* dials.
 
@@ -38,9 +34,9 @@
     for zone, members in members_by_zone.items():
         if zone == own_zone or not members:
             continue
-        bridges = rendezvous(zone, own, _BRIDGES_PER_ZONE_PAIR)
+        bridges = top(zone, own, _BRIDGES_PER_ZONE_PAIR)
         if own_id in bridges:
-            far = rendezvous(own_zone, members, _BRIDGES_PER_ZONE_PAIR)
+            far = top(own_zone, members, _BRIDGES_PER_ZONE_PAIR)
             targets[zone] = far[bridges.index(own_id) % len(far)]
     return targets
 
--- a/src/verbenawind/membership/watching.py
+++ b/src/verbenawind/membership/watching.py
@@ -13,9 +13,9 @@
 from verbenawind.kernel import Fleet, ServerView
 from verbenawind.kernel.messages import BackendKind, EngineStatus, ModelStatus, SwapState
 from verbenawind.kernel.ports import BackendClients, HostList, SpreadItem
+from verbenawind.kernel.rendezvous import top
 from verbenawind.membership.bus import GossipBus
 from verbenawind.membership.servers import ServerDirectory
-from verbenawind.membership.topology import rendezvous
 
 __all__ = ["FleetWatcher"]
 
@@ -151,7 +151,7 @@
             if not self._directory.cares_for(zone):
                 continue
             others = zones.get(zone, ()) if zone == own_zone else everybody
-            watchers = rendezvous(server_id, [*others, own_id], count)
+            watchers = top(server_id, [*others, own_id], count)
             if own_id in watchers:
                 assigned.append(server_id)
         return assigned
--- a/src/verbenawind/routing/engine_pool.py
+++ b/src/verbenawind/routing/engine_pool.py
@@ -22,7 +22,7 @@
 from verbenawind.routing.limits import EngineLimit
 from verbenawind.routing.members import PoolMembers
 from verbenawind.routing.policy import RoutingPolicy
-from verbenawind.routing.rendezvous import prefix_slot
+from verbenawind.routing.prefixes import prefix_slot
 from verbenawind.routing.reserve import ApplicationReserve
 from verbenawind.routing.slots import SlotQueue, Ticket
 
--- a/src/verbenawind/routing/members.py
+++ b/src/verbenawind/routing/members.py
@@ -3,8 +3,9 @@
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.messages import BackendKind
 from verbenawind.kernel.ports import PeerBus
+from verbenawind.kernel.rendezvous import top
 from verbenawind.routing.choice import distance
-from verbenawind.routing.rendezvous import PrefixTable, top
+from verbenawind.routing.prefixes import PrefixTable
 
 __all__ = ["PoolMembers"]
 
--- a/src/verbenawind/routing/rendezvous.py
+++ b/src/verbenawind/routing/prefixes.py
@@ -1,29 +1,17 @@
-"""Rendezvous hashing: daemons that know the same members agree without talking."""
+"""Which engines a prompt's beginning prefers, the same at every daemon."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 
-__all__ = ["PrefixTable", "owner", "prefix_slot", "top"]
+from verbenawind.kernel.rendezvous import top
+
+__all__ = ["PrefixTable", "prefix_slot"]
 
 _PREFIX_SLOTS = 1024
 _PREFIX_CHARACTERS = 512
 
 
-def _score(key: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
-
-
-def top(key: str, members: Iterable[str], count: int) -> list[str]:
-    """Return the *count* members with the highest scores for *key*, best first."""
-    return sorted(members, key=lambda member: _score(key, member), reverse=True)[:count]
-
-
-def owner(key: str, members: Iterable[str]) -> str:
-    """Return the member with the highest score for *key*."""
-    return max(members, key=lambda member: _score(key, member))
-
-
 def prefix_slot(model: str, prompt: str) -> int:
     """Return the slot of a prompt's beginning; prompts that begin alike share it."""
     head = f"{model}\0{prompt[:_PREFIX_CHARACTERS]}"
--- a/src/verbenawind/routing/trials.py
+++ b/src/verbenawind/routing/trials.py
@@ -9,7 +9,7 @@
 from verbenawind.errors import PeerUnreachable
 from verbenawind.kernel import Fleet
 from verbenawind.kernel.ports import PeerBus
-from verbenawind.routing.rendezvous import owner
+from verbenawind.kernel.rendezvous import owner
 
 __all__ = ["TrialAsk", "TrialGate"]
 
--- a/src/verbenawind/state/contention.py
+++ b/src/verbenawind/state/contention.py
@@ -6,7 +6,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.kernel.ports import PeerBus, SpreadItem
-from verbenawind.membership.topology import rendezvous
+from verbenawind.kernel.rendezvous import top
 
 __all__ = ["Contention"]
 
@@ -138,7 +138,7 @@
         return max(close_s, self._rng.uniform(0.5, 1.5) * _SLOW_PERIOD_S)
 
     def _standbys(self, name: str, owner: str, contenders: set[str]) -> set[str]:
-        return set(rendezvous(name, contenders - {owner}, _STANDBYS))
+        return set(top(name, contenders - {owner}, _STANDBYS))
 
     def _contenders(self, zone_only: bool) -> set[str]:
         others = {
--- a/src/verbenawind/weights/controller.py
+++ b/src/verbenawind/weights/controller.py
@@ -14,10 +14,11 @@
     TableStore,
     WeightStore,
 )
+from verbenawind.kernel.rendezvous import top
 from verbenawind.weights.budget import StagingBudget
 from verbenawind.weights.plan import Target, swap_limit
 from verbenawind.weights.shard_holder import ShardHolder
-from verbenawind.weights.shards import lease_name, preferred_daemons, shard_of
+from verbenawind.weights.shards import lease_name, shard_of
 from verbenawind.weights.targets import Targets
 
 __all__ = ["WeightsController"]
@@ -141,9 +142,7 @@
         zone = self._fleet.location.zone
         name = lease_name(zone, shard)
         rivals = [peer.peer_id for peer in self._peers.peers() if peer.location.zone == zone]
-        if self._peers.peer_id not in preferred_daemons(
-            name, [*rivals, self._peers.peer_id], _CONTENDERS
-        ):
+        if self._peers.peer_id not in top(name, [*rivals, self._peers.peer_id], _CONTENDERS):
             return
         longest_s = self._longest_order_s()
         duration_s = max(_LEASE_S, _LEASE_ORDER_TIMEOUTS * longest_s)
--- a/src/verbenawind/weights/shards.py
+++ b/src/verbenawind/weights/shards.py
@@ -4,11 +4,9 @@
 of one lease, which rise with every holder.
 """
 
-from collections.abc import Iterable, Sequence
-
 import xxhash
 
-__all__ = ["SHARD_COUNT", "lease_name", "preferred_daemons", "shard_of"]
+__all__ = ["SHARD_COUNT", "lease_name", "shard_of"]
 
 SHARD_COUNT = 16
 """Shards of an availability zone; 870 engines make some 54 a shard."""
@@ -22,12 +20,3 @@
 def lease_name(zone: str, shard: int) -> str:
     """Return the name of the lease that guards a shard's orders."""
     return f"weights/{zone}/{shard:02}"
-
-
-def preferred_daemons(name: str, daemon_ids: Iterable[str], count: int) -> Sequence[str]:
-    """Return the *count* daemons that should try for a lease, the first choice first."""
-
-    def rank(daemon_id: str) -> int:
-        return xxhash.xxh64_intdigest(f"{name}|{daemon_id}".encode())
-
-    return sorted(daemon_ids, key=rank, reverse=True)[:count]
--- a/tests/routing/test_decisions.py
+++ b/tests/routing/test_decisions.py
@@ -12,12 +12,13 @@
     TokensGenerated,
     WorkKind,
 )
+from verbenawind.kernel.rendezvous import owner, top
 from verbenawind.routing.attempts import check_event
 from verbenawind.routing.callers import CallerLimits
 from verbenawind.routing.choice import Candidate, CrossingCost, Tier, choose_engine
 from verbenawind.routing.fair_queue import FairQueue
 from verbenawind.routing.limits import EngineLimit
-from verbenawind.routing.rendezvous import PrefixTable, owner, top
+from verbenawind.routing.prefixes import PrefixTable
 from verbenawind.routing.reserve import ApplicationReserve
 from verbenawind.routing.retries import RetryBudget, backoff_s
 from verbenawind.routing.trials import TrialAsk, _PoolTrials
--- a/tests/weights/test_parts.py
+++ b/tests/weights/test_parts.py
@@ -5,7 +5,7 @@
 
 from verbenawind.weights.budget import StagingBudget
 from verbenawind.weights.failures import OrderFailures
-from verbenawind.weights.shards import SHARD_COUNT, preferred_daemons, shard_of
+from verbenawind.weights.shards import SHARD_COUNT, shard_of
 
 
 class ManualClock:
@@ -62,9 +62,3 @@
         for number in range(870):
             counts[shard_of(f"engine-{number}")] += 1
         assert max(counts) <= 2 * 870 / SHARD_COUNT
-
-    def test_daemons_agree_on_the_preferred_ones(self) -> None:
-        """The preferred daemons do not depend on the order in which peers are known."""
-        daemons = [f"d{number}" for number in range(60)]
-        chosen = preferred_daemons("weights/z/03", daemons, 2)
-        assert chosen == preferred_daemons("weights/z/03", reversed(daemons), 2)
