Test that a woken holder that believes in its lease commits nothing

Cause: the pause test passed with the guard check taken out, as the lease's own clock and the work row's version stopped the old holder first. Now the old holder believes in its lease, has unfinished work and nobody else to do it. Measured: passes; with the guard check removed from the commit it fails.

--- a/tests/rollout/test_delivery.py
+++ b/tests/rollout/test_delivery.py
@@ -7,6 +7,7 @@
 from rollout.scenarios import Scene, document, submission
 from verbenawind.errors import CursorConflict, StepConflict, StoreUnavailable
 from verbenawind.standins.world import run_virtual
+from verbenawind.state.leases import HeldLease
 
 
 class TestAcceptance:
@@ -81,8 +82,11 @@
 
         run_virtual(scenario())
 
-    def test_paused_holder_commits_nothing(self) -> None:
-        """A holder that was paused past its lease commits nothing when it wakes."""
+    @pytest.mark.parametrize("believes", [False, True])
+    def test_paused_holder_commits_nothing(
+        self, believes: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A holder paused past its lease commits nothing when it wakes, whatever it believes."""
 
         async def scenario() -> None:
             scene = await Scene(document(), daemons=2).start()
@@ -96,6 +100,10 @@
                 while len(scene.samples) < 48:
                     scene.take(await scene.ask(index))
             row = scene.world.table.rows[f"rollout/{scene.name}/folders/work"]
+            if believes:
+                monkeypatch.setattr(HeldLease, "remaining_s", lambda _self: 100.0)
+                await scene.submit(submission(2), index)
+                await scene.remove(list(scene.world.daemons)[index])
             scene.world.processes[paused].resume()
             await asyncio.sleep(20.0)
             work = scene.world.table.rows[f"rollout/{scene.name}/folders/work"]
