Let no more engines of a pool swap at once than its limit

Cause: engines that had been behind for three order timeouts could swap beside those in turn, so that one broken engine would not hold up the pool. Behind counted from publication: with an activation time 20 s later every engine had been behind for long, and all swapped at once. Ruled out: the spreading of swap states, which is at once. Change: turns count from the activation time, an engine that misses its turn goes behind the others, and never more than the limit are in turn. The new case of the application-pool test fails without the change.

--- a/src/verbenawind/weights/plan.py
+++ b/src/verbenawind/weights/plan.py
@@ -1,7 +1,5 @@
 """Decides the next order for an engine: values in, order kind and reason out."""
 
-from collections.abc import Sequence
-
 from verbenawind.document import EnvironmentDocument, PoolSpec
 from verbenawind.document.types import CallerKind
 from verbenawind.kernel.messages import OrderKind, SwapState, Value
@@ -10,13 +8,11 @@
     "EngineState",
     "OrderDecision",
     "Target",
-    "engines_in_turn",
     "next_order",
     "swap_limit",
 ]
 
 _APPLICATION_SWAP_FRACTION = 0.5
-_TURN_TIMEOUTS = 3
 
 
 class Target(Value, frozen=True, kw_only=True):
@@ -37,17 +33,13 @@
 
 
 class EngineState(Value, frozen=True, kw_only=True):
-    """One engine with respect to one model.
-
-    ``behind_since_s`` and ``retry_at_s`` are monotonic times in seconds.
-    """
+    """One engine with respect to one model; ``retry_at_s`` is a monotonic time in seconds."""
 
     server_id: str
     active_version: int | None
     staged_versions: tuple[int, ...]
     swap_state: SwapState
     usable: bool
-    behind_since_s: float
     retry_at_s: float = 0.0
     set_aside: bool = False
 
@@ -85,28 +77,6 @@
     return OrderDecision(kind=OrderKind.ACTIVATE, reason="staged and in turn")
 
 
-def engines_in_turn(
-    target: Target, pool_engines: Sequence[EngineState], limit: int, now_s: float
-) -> frozenset[str]:
-    """Return the engines that may swap now: the first *limit* that are still behind.
-
-    All holders rank by name, so they agree without messages. An engine that stays behind for
-    several order timeouts no longer holds up those ranked after it.
-    """
-    patience_s = _TURN_TIMEOUTS * target.order_timeout_s
-    turn: list[str] = []
-    counted = 0
-    for engine in sorted(pool_engines, key=lambda engine: engine.server_id):
-        if not engine.is_behind(target.version) or not engine.usable or engine.set_aside:
-            continue
-        if counted >= limit:
-            break
-        turn.append(engine.server_id)
-        if now_s - engine.behind_since_s < patience_s:
-            counted += 1
-    return frozenset(turn)
-
-
 def swap_limit(document: EnvironmentDocument, pool: PoolSpec, engines: int) -> int:
     """Return how many of a pool's *engines* may swap at once.
 
--- a/src/verbenawind/weights/shard_holder.py
+++ b/src/verbenawind/weights/shard_holder.py
@@ -15,8 +15,9 @@
 from verbenawind.kernel.ports import BackendClients, Lease
 from verbenawind.weights.budget import StagingBudget
 from verbenawind.weights.failures import OrderFailures
-from verbenawind.weights.plan import EngineState, Target, engines_in_turn, next_order
+from verbenawind.weights.plan import EngineState, Target, next_order
 from verbenawind.weights.shards import shard_of
+from verbenawind.weights.turns import TurnBook
 
 __all__ = ["ShardHolder"]
 
@@ -36,7 +37,6 @@
     """
 
     __slots__ = (
-        "_behind_since_s",
         "_clients",
         "_clock",
         "_failures",
@@ -45,6 +45,7 @@
         "_log",
         "_orders",
         "_settled_at_s",
+        "_turns",
         "_verified",
         "budget",
         "lease",
@@ -74,7 +75,7 @@
         self._verified: set[tuple[str, int]] = set()
         self._orders: dict[str, asyncio.Task[None]] = {}
         self._last_ordered_s: dict[tuple[str, str], float] = {}
-        self._behind_since_s: dict[tuple[str, str, int], float] = {}
+        self._turns = TurnBook()
         self._log = structlog.get_logger("weights")
 
     @property
@@ -95,12 +96,16 @@
         self._forget_gone()
         for target in self._fairly(targets):
             pool = [self._state(view, target) for view in self._pool_views(target)]
-            now_s = self._clock.monotonic_s()
-            turn = engines_in_turn(target, pool, limits[target.pool], now_s)
+            turn = self._in_turn(target, pool, limits[target.pool])
             for state in pool:
                 if shard_of(state.server_id) == self.shard and state.server_id not in self._orders:
                     self._consider(target, state, state.server_id in turn, checks_fencing)
 
+    def _in_turn(self, target: Target, pool: Sequence[EngineState], limit: int) -> frozenset[str]:
+        if self._clock.now().timestamp() < target.activate_at_s:
+            return frozenset()
+        return self._turns.in_turn(target, pool, limit, self._clock.monotonic_s())
+
     async def stop(self) -> None:
         """Wait for the orders in flight."""
         await asyncio.gather(*self._orders.values(), return_exceptions=True)
@@ -209,15 +214,12 @@
     def _state(self, view: ServerView, target: Target) -> EngineState:
         server = view.server
         status = view.status.model(target.model) if view.status else None
-        now_s = self._clock.monotonic_s()
-        key = (server.server_id, target.model, target.version)
         return EngineState(
             server_id=server.server_id,
             active_version=status.active_version if status else None,
             staged_versions=status.staged_versions if status else (),
             swap_state=status.swap_state if status else SwapState.IDLE,
-            usable=view.usable(now_s),
-            behind_since_s=self._behind_since_s.setdefault(key, now_s),
+            usable=view.usable(self._clock.monotonic_s()),
             retry_at_s=self._failures.retry_at_s(
                 server.server_id, server.incarnation, target.model
             ),
@@ -249,14 +251,7 @@
         self._last_ordered_s = {
             key: at_s for key, at_s in self._last_ordered_s.items() if key[0] in names
         }
-        newest: dict[tuple[str, str], int] = {}
-        for server_id, model, version in self._behind_since_s:
-            newest[(server_id, model)] = max(newest.get((server_id, model), -1), version)
-        self._behind_since_s = {
-            key: at_s
-            for key, at_s in self._behind_since_s.items()
-            if key[0] in names and newest[(key[0], key[1])] == key[2]
-        }
+        self._turns.keep_only(names)
 
     def _finished(self, server_id: str, _: asyncio.Task[None]) -> None:
         self._orders.pop(server_id, None)
--- a/tests/weights/test_controller.py
+++ b/tests/weights/test_controller.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from verbenawind.daemon import Core
 from verbenawind.document import EnvironmentRevision, parse_document
 from verbenawind.kernel.messages import OrderKind
@@ -18,7 +20,8 @@
     {"name": "tuner", "pool": "tuning"},
     {"name": "gluer", "pool": "tuning"}
   ],
-  "callers": [%(callers)s]
+  "callers": [%(callers)s],
+  "weights": {"activation_delay_s": %(delay_s)s}
 }
 """
 APPLICATION = """{"name": "shop", "kind": "application", "models": ["tuner"],
@@ -64,6 +67,7 @@
     daemons: int = 1,
     checks_fencing: bool = True,
     applications: bool = False,
+    activation_delay_s: float = 0.0,
 ) -> None:
     async def run() -> None:
         world = World(regions=("bangkok",))
@@ -80,6 +84,7 @@
         text = DOCUMENT % {
             "checks": str(checks_fencing).lower(),
             "callers": APPLICATION if applications else "",
+            "delay_s": activation_delay_s,
         }
         revision = await world.accept(parse_document(text))
         await scenario(Scene(world, revision))
@@ -139,22 +144,22 @@
 
         play(scenario)
 
-    def test_application_pool_is_never_swapped_all_at_once(self) -> None:
+    @pytest.mark.parametrize("activation_delay_s", [0.0, 30.0])
+    def test_application_pool_is_never_swapped_all_at_once(self, activation_delay_s: float) -> None:
         """At every moment at least half of an application pool has a definite version."""
         definite: list[int] = []
 
         async def scenario(scene: Scene) -> None:
-            def observe() -> bool:
+            await scene.publish(1)
+            while not scene.all_at(1):
                 versions = [
                     engine.active_version("tuner") for engine in scene.world.engines.values()
                 ]
                 definite.append(sum(version is not None for version in versions))
-                return scene.all_at(1)
-
-            await scene.publish(1)
-            assert await scene.until(observe, limit_s=30.0)
+                assert scene.world.clock.monotonic_s() < activation_delay_s + 60.0
+                await asyncio.sleep(0.01)
 
-        play(scenario, engines=4, applications=True)
+        play(scenario, engines=4, applications=True, activation_delay_s=activation_delay_s)
         assert min(definite) >= 2
 
     def test_no_model_starves_while_another_changes_fast(self) -> None:
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -6,10 +6,10 @@
     EngineState,
     OrderDecision,
     Target,
-    engines_in_turn,
     next_order,
     swap_limit,
 )
+from verbenawind.weights.turns import TurnBook
 
 NOW_S = 100.0
 TARGET = Target(
@@ -32,7 +32,6 @@
     staged: tuple[int, ...] = (),
     state: SwapState = SwapState.IDLE,
     usable: bool = True,
-    behind_since_s: float = NOW_S,
     retry_at_s: float = 0.0,
     set_aside: bool = False,
 ) -> EngineState:
@@ -42,7 +41,6 @@
         staged_versions=staged,
         swap_state=state,
         usable=usable,
-        behind_since_s=behind_since_s,
         retry_at_s=retry_at_s,
         set_aside=set_aside,
     )
@@ -78,22 +76,31 @@
         assert decide(engine(retry_at_s=NOW_S + 1)).kind is None
 
 
-class TestEnginesInTurn:
+class TestTurnBook:
     def test_only_the_first_engines_behind_are_in_turn(self) -> None:
         """Of the engines that are behind, as many as the limit are in turn."""
         pool = [engine("c"), engine("a", active=3), engine("b"), engine("d")]
-        assert engines_in_turn(TARGET, pool, 1, NOW_S) == {"b"}
-        assert engines_in_turn(TARGET, pool, 2, NOW_S) == {"b", "c"}
-
-    def test_broken_engine_does_not_hold_up_others(self) -> None:
-        """Engines set aside, unusable or behind for too long let the next one swap."""
-        pool = [
-            engine("a", set_aside=True),
-            engine("b", usable=False),
-            engine("c", behind_since_s=NOW_S - 60.0),
-            engine("d"),
-        ]
-        assert engines_in_turn(TARGET, pool, 1, NOW_S) == {"c", "d"}
+        assert TurnBook().in_turn(TARGET, pool, 1, NOW_S) == {"b"}
+        assert TurnBook().in_turn(TARGET, pool, 2, NOW_S) == {"b", "c"}
+
+    def test_broken_engines_do_not_hold_up_others(self) -> None:
+        """Engines that were set aside or are not usable get no turn."""
+        pool = [engine("a", set_aside=True), engine("b", usable=False), engine("c")]
+        assert TurnBook().in_turn(TARGET, pool, 1, NOW_S) == {"c"}
+
+    def test_engine_that_misses_its_turn_goes_to_the_end(self) -> None:
+        """An engine that stays behind for several order timeouts lets the next one swap."""
+        book, pool = TurnBook(), [engine("a"), engine("b")]
+        assert book.in_turn(TARGET, pool, 1, NOW_S) == {"a"}
+        assert book.in_turn(TARGET, pool, 1, NOW_S + 14.0) == {"a"}
+        book.in_turn(TARGET, pool, 1, NOW_S + 16.0)
+        assert book.in_turn(TARGET, pool, 1, NOW_S + 16.2) == {"b"}
+
+    def test_limit_holds_however_long_engines_are_behind(self) -> None:
+        """No passage of time puts more engines in turn than the limit."""
+        book, pool = TurnBook(), [engine(name) for name in "abcd"]
+        for step in range(200):
+            assert len(book.in_turn(TARGET, pool, 2, NOW_S + step)) == 2
 
 
 class TestSwapLimit:
