--- a/bench/membership.py
+++ b/bench/membership.py
@@ -15,7 +15,8 @@
 from verbenawind.clock import LoopClock, SystemClock
 from verbenawind.kernel.ports import SpreadItem
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
-from verbenawind.standins.network import GatedClock, NetworkTransport, Process, StandinNetwork
+from verbenawind.standins.network import GatedClock, Process, StandinNetwork
+from verbenawind.standins.peer_network import NetworkTransport
 from verbenawind.standins.world import run_virtual
 
 __all__ = ["run"]
--- a/src/verbenawind/standins/network.py
+++ b/src/verbenawind/standins/network.py
@@ -9,7 +9,6 @@
 from verbenawind.errors import (
     BackendServerFailed,
     BackendServerUnreachable,
-    PeerUnreachable,
     StoreUnavailable,
 )
 from verbenawind.kernel.messages import (
@@ -39,12 +38,25 @@
     WeightStore,
 )
 
-__all__ = ["PLATFORM", "GatedClock", "Process", "StandinNetwork"]
+__all__ = [
+    "CUT_DETECTION_S",
+    "PLATFORM",
+    "GatedClock",
+    "NetworkEngine",
+    "NetworkHosts",
+    "NetworkObjects",
+    "NetworkScoring",
+    "NetworkService",
+    "NetworkTable",
+    "NetworkWeights",
+    "Process",
+    "StandinNetwork",
+]
 
 T = TypeVar("T")
 
 PLATFORM = "platform"
-_CUT_DETECTION_S = 0.5
+CUT_DETECTION_S = 0.5
 
 
 class StandinNetwork:
@@ -124,11 +136,11 @@
         """Run a call to the platform; raises StoreUnavailable when cut off."""
         await self.gate()
         if not await self.network.travel(self.zone, PLATFORM):
-            await self.network.clock.sleep(_CUT_DETECTION_S)
+            await self.network.clock.sleep(CUT_DETECTION_S)
             raise StoreUnavailable(f"{what}: the platform is cut off", effect_possible=False)
         result = await call()
         if not await self.network.travel(PLATFORM, self.zone):
-            await self.network.clock.sleep(_CUT_DETECTION_S)
+            await self.network.clock.sleep(CUT_DETECTION_S)
             raise StoreUnavailable(f"{what}: no answer", effect_possible=True)
         await self.gate()
         return result
@@ -138,11 +150,11 @@
         await self.gate()
         site = server.location.zone
         if not await self.network.travel(self.zone, site):
-            await self.network.clock.sleep(_CUT_DETECTION_S)
+            await self.network.clock.sleep(CUT_DETECTION_S)
             raise BackendServerUnreachable(f"server {server.server_id} is cut off")
         result = await call()
         if not await self.network.travel(site, self.zone):
-            await self.network.clock.sleep(_CUT_DETECTION_S)
+            await self.network.clock.sleep(CUT_DETECTION_S)
             raise BackendServerFailed(f"server {server.server_id} gave no answer")
         await self.gate()
         return result
@@ -250,13 +262,13 @@
         process, site = self._process, self._server.location.zone
         await process.gate()
         if not await process.network.travel(process.zone, site):
-            await process.network.clock.sleep(_CUT_DETECTION_S)
+            await process.network.clock.sleep(CUT_DETECTION_S)
             raise BackendServerUnreachable(f"engine {self._server.server_id} is cut off")
         events = self._engine.generate(attempt)
         try:
             async for event in events:
                 if not process.network.reaches(site, process.zone):
-                    await process.network.clock.sleep(_CUT_DETECTION_S)
+                    await process.network.clock.sleep(CUT_DETECTION_S)
                     raise BackendServerFailed(f"engine {self._server.server_id} is cut off")
                 await process.gate()
                 yield event
@@ -329,110 +341,3 @@
 
     async def aclose(self) -> None:
         """Do nothing; there is no connection."""
-
-
-class _Channel:
-    """One end of a link between two processes; implements PeerChannel."""
-
-    def __init__(self, process: Process, remote_zone: str) -> None:
-        self._process = process
-        self._remote_zone = remote_zone
-        self._inbox: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue()
-        self._closed = False
-        self.other: _Channel | None = None
-
-    async def send(self, data: bytes) -> None:
-        """Send one message; it may get lost on the way."""
-        await self._process.gate()
-        if self._closed or self.other is None or self.other._closed:
-            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
-        network = self._process.network
-        if not network.reaches(self._process.zone, self._remote_zone):
-            return
-        if network.rng.random() < network.loss_rate:
-            return
-        arrival_s = network.clock.monotonic_s() + network._delay_s(
-            self._process.zone, self._remote_zone
-        )
-        self.other._inbox.put_nowait((arrival_s, data))
-
-    async def receive(self) -> bytes:
-        """Return the next message that arrives."""
-        if self._closed:
-            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
-        arrival_s, data = await self._inbox.get()
-        clock = self._process.network.clock
-        await clock.sleep(max(0.0, arrival_s - clock.monotonic_s()))
-        await self._process.gate()
-        if data is None:
-            self._closed = True
-            raise PeerUnreachable(f"link to zone {self._remote_zone} is closed")
-        return data
-
-    async def aclose(self) -> None:
-        """Close both ends."""
-        self.close()
-
-    def close(self) -> None:
-        """Close both ends without waiting."""
-        for end in (self, self.other):
-            if end is not None and not end._closed:
-                end._closed = True
-                end._inbox.put_nowait((0.0, None))
-
-
-class NetworkTransport:
-    """Links between the daemons of one process's tests; implements PeerTransport."""
-
-    def __init__(self, process: Process) -> None:
-        self._process = process
-        self._addresses: list[str] = []
-        self._channels: set[_Channel] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def listen(self, address: str, accept: Callable[[PeerChannel], Awaitable[None]]) -> str:
-        """Serve links at *address* and return the bound address."""
-        network = self._process.network
-        bound = network.new_address() if address.endswith(":0") else address
-
-        async def serve(channel: PeerChannel) -> None:
-            assert isinstance(channel, _Channel)
-            channel._process = self._process
-            self._channels.add(channel)
-            try:
-                await accept(channel)
-            finally:
-                channel.close()
-                self._channels.discard(channel)
-
-        network.listeners[bound] = (self._process.zone, serve)
-        self._addresses.append(bound)
-        return bound
-
-    async def connect(self, address: str) -> PeerChannel:
-        """Open a link to the daemon at *address*."""
-        await self._process.gate()
-        network = self._process.network
-        zone, serve = network.listeners.get(address, (None, None))
-        if zone is None or serve is None:
-            await network.clock.sleep(0.001)
-            raise PeerUnreachable(f"peer {address}: connection refused")
-        there = await network.travel(self._process.zone, zone)
-        if not there or not await network.travel(zone, self._process.zone):
-            await network.clock.sleep(_CUT_DETECTION_S)
-            raise PeerUnreachable(f"peer {address}: timed out")
-        near = _Channel(self._process, zone)
-        far = _Channel(self._process, self._process.zone)
-        near.other, far.other = far, near
-        self._channels.add(near)
-        task = asyncio.get_running_loop().create_task(serve(far))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return near
-
-    async def aclose(self) -> None:
-        """Stop listening and close every link."""
-        for address in self._addresses:
-            self._process.network.listeners.pop(address, None)
-        for channel in list(self._channels):
-            channel.close()
--- a/src/verbenawind/standins/world.py
+++ b/src/verbenawind/standins/world.py
@@ -24,11 +24,11 @@
     NetworkScoring,
     NetworkService,
     NetworkTable,
-    NetworkTransport,
     NetworkWeights,
     Process,
     StandinNetwork,
 )
+from verbenawind.standins.peer_network import NetworkTransport
 from verbenawind.standins.platform import (
     StandinHostList,
     StandinObjects,
