--- a/src/verbenawind/rollout/holder.py
+++ b/src/verbenawind/rollout/holder.py
@@ -6,11 +6,9 @@
 
 import msgspec
 import structlog
-import xxhash
 
 from verbenawind.document import EnvironmentRevision, ModelSpec, TrainerSpec
 from verbenawind.errors import ConditionFailed, LeaseLost, StoreUnavailable, VerbenawindError
-from verbenawind.kernel.ports import Lease
 from verbenawind.kernel.rollouts import Sample, StepSubmission
 from verbenawind.rollout.commits import BatchCommitter, FinishedUnit, TrainerState
 from verbenawind.rollout.drafts import UnitJob
@@ -26,19 +24,17 @@
 )
 from verbenawind.rollout.records import StepRecord
 from verbenawind.rollout.staleness import StalenessBound
+from verbenawind.rollout.tenure import ACQUIRE_PERIOD_S, Tenure
 from verbenawind.rollout.units import StepUnits
 
 __all__ = ["StepHolder"]
 
-_LEASE_S = 30.0
 _LOOK_PERIOD_S = 0.5
 _TURN_PERIOD_S = 0.1
 _MIN_TURN_PERIOD_S = 0.02
-_ACQUIRE_PERIOD_S = 1.0
 _STORE_RETRY_S = 2.0
 _MAX_UNCOMMITTED_SAMPLES = 4096
 _MAX_UNCOMMITTED_TOKENS = 1_000_000
-_CONTENDERS = 3
 
 
 class _Step:
@@ -77,9 +73,8 @@
         self._pacer = Pacer(parts.clock, parts.policy.fixed_ahead_steps)
         self._lengths = LengthBook()
         self._log = structlog.get_logger("rollout")
-        self._lease: Lease | None = None
+        self._tenure = Tenure(self._state, parts)
         self._records: Sequence[StepRecord] = ()
-        self._epoch = 0
         self._steps: dict[int, _Step] = {}
         self._running: dict[tuple[int, int], asyncio.Task[None]] = {}
         self._partial: dict[tuple[int, int], dict[tuple[int, int], Sample]] = {}
@@ -88,7 +83,6 @@
         self._draining = False
         self._min_version = 0
         self._next_look_s = 0.0
-        self._next_acquire_s = 0.0
 
     def configure(
         self, revision: EnvironmentRevision, trainer: TrainerSpec, model: ModelSpec
@@ -117,8 +111,7 @@
         finally:
             for task in self._running.values():
                 task.cancel()
-        if self._lease is not None:
-            await self._lease.release()
+        await self._tenure.release()
 
     def drain(self) -> None:
         """Start nothing new; finish and commit what runs, then give the lease back."""
@@ -126,10 +119,10 @@
         self._wake.set()
 
     def _is_drained(self) -> bool:
-        return not self._running and (not self._committer.pending or not self._is_held())
+        return not self._running and (not self._committer.pending or not self._tenure.is_held)
 
     async def _rest(self) -> None:
-        period_s = _TURN_PERIOD_S if self._is_held() else _ACQUIRE_PERIOD_S
+        period_s = _TURN_PERIOD_S if self._tenure.is_held else ACQUIRE_PERIOD_S
         self._wake.clear()
         await self._parts.clock.sleep(_MIN_TURN_PERIOD_S)
         waiting = asyncio.ensure_future(self._wake.wait())
@@ -163,50 +156,22 @@
             delay_s = self._parts.rng.uniform(0.5, 1.5) * _STORE_RETRY_S
             self._next_look_s = self._parts.clock.monotonic_s() + delay_s
             self._log.warning("store_unavailable", error=error.message, retry_in_s=delay_s)
-        if self._is_held() and not self._draining:
+        if self._tenure.is_held and not self._draining:
             await self._dispatch()
 
-    def _is_held(self) -> bool:
-        return self._lease is not None and self._lease.remaining_s() > 0
-
     async def _hold(self) -> bool:
-        if self._is_held():
+        if self._tenure.is_held:
             return True
-        if self._lease is not None:
-            self._log.warning("lease_lapsed", trainer=self._state.trainer.name)
-            self._lease = None
+        if self._tenure.notice_lapse():
             self._committer.forget()
-        now_s = self._parts.clock.monotonic_s()
-        if now_s < self._next_acquire_s or self._draining:
+        if self._draining or not self._tenure.is_due():
             return False
-        self._next_acquire_s = now_s + self._parts.rng.uniform(0.5, 1.5) * _ACQUIRE_PERIOD_S
-        name = f"rollout/{self._state.environment}/{self._state.trainer.name}"
-        if not self._is_contender(name):
-            return False
-        self._lease = await self._parts.leases.acquire(name, _LEASE_S, guarded=True)
-        if self._lease is None:
+        if not await self._tenure.acquire():
             await self._give_up_if_replaced()
             return False
-        self._epoch = self._lease.fencing_number
         self._next_look_s = 0.0
-        self._log.info(
-            "steps_held",
-            trainer=self._state.trainer.name,
-            epoch=self._lease.fencing_number,
-            reason="the lease was free or lapsed",
-        )
         return True
 
-    def _is_contender(self, name: str) -> bool:
-        """Return whether this daemon is among the few that try to hold the trainer's steps."""
-        own_id = self._parts.peers.peer_id
-        daemon_ids = [own_id, *(peer.peer_id for peer in self._parts.peers.peers())]
-
-        def score(daemon_id: str) -> int:
-            return xxhash.xxh64_intdigest(f"{name}|{daemon_id}".encode())
-
-        return own_id in sorted(daemon_ids, key=score)[:_CONTENDERS]
-
     async def _give_up_if_replaced(self) -> None:
         """Drop the work in progress once another holder has committed."""
         if not self._running and not self._committer.pending:
@@ -215,7 +180,7 @@
             rows, _ = await self._committer.read()
         except StoreUnavailable:
             return
-        if rows.work.epoch <= self._epoch:
+        if rows.work.epoch <= self._tenure.epoch:
             return
         for task in self._running.values():
             task.cancel()
@@ -256,7 +221,8 @@
             del self._partial[key]
 
     async def _commit(self) -> None:
-        assert self._lease is not None
+        lease = self._tenure.lease
+        assert lease is not None
         if not self._committer.is_current:
             return
         bound = self._parts.versions.bound(
@@ -269,7 +235,7 @@
         idle = not self._running
         graded = self._parts.scorer.graded_ordinal(self._state)
         if await self._committer.commit_due(
-            self._lease,
+            lease,
             self._parts.clock.monotonic_s(),
             flush=self._draining or idle,
             graded_ordinal=graded,
