Pass over cancelled requests when slots are granted

Cause: between a caller's cancellation and its waiter taking the ticket back, a released slot could be granted to the cancelled ticket; setting the result raised InvalidStateError in the other request's release, and the slot stayed counted. Seen once by the rollout worker at a test's tear-down; found by reading. Ruled out: the deadline path, which takes the ticket back in the same step. Change: a ticket whose request was cancelled is dropped at the head of its lane.

--- a/src/verbenawind/routing/slots.py
+++ b/src/verbenawind/routing/slots.py
@@ -75,6 +75,11 @@
         self.since_s = 0.0
         self.future: asyncio.Future[Choice] | None = None
 
+    @property
+    def abandoned(self) -> bool:
+        """Whether the waiting request was cancelled and has yet to take the ticket back."""
+        return self.future is not None and self.future.cancelled()
+
 
 class SlotQueue:
     """Queues tickets and grants each a server as soon as the choice function names one.
@@ -175,6 +180,10 @@
             head = self._lanes[key].peek()
             assert head is not None
             ticket = head[1]
+            if ticket.abandoned:
+                self._lanes[key].pop()
+                ticket.future = None
+                continue
             choice = self._choose(ticket)
             if choice.server_id is None:
                 blocked.add(key)
