Ask the daemons that do not spread which revision they hold

Cause: above 32 daemons revisions held are not spread, to keep control traffic small, and status showed the daemon asked alone. The second case of the test fails without the change.

--- a/src/verbenawind/api/fleet.py
+++ b/src/verbenawind/api/fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 from litestar import Request, Response, get, post
 
+from verbenawind.api.holders import Holders, find_holders
 from verbenawind.api.replies import json_response
 from verbenawind.api.services import ApiServices, operator_services
 from verbenawind.document import EnvironmentRevision
@@ -15,7 +16,6 @@
 __all__ = ["EXPLAIN_CALL", "HANDLERS", "answer_explain_call"]
 
 EXPLAIN_CALL = "explain"
-_REVISION_ITEM = "revision-held"
 _BASE = "/operators/v1"
 _EXPLAIN_TIMEOUT_S = 2.0
 _MAX_PEERS_ASKED = 32
@@ -26,6 +26,7 @@
     """Return the revisions in force, who holds which, the backend servers and the peers."""
     services = operator_services(request)
     settings = services.settings
+    holders = await find_holders(services)
     return json_response(
         {
             "daemon_id": settings.daemon_id,
@@ -33,8 +34,9 @@
             "region": settings.region,
             "ready": services.ready(),
             "environments": [
-                _environment(services, item) for item in services.configuration.environments()
+                _environment(holders, item) for item in services.configuration.environments()
             ],
+            "unreachable_daemons": holders.unreachable,
             "servers": [_server(services, view) for view in services.fleet.all()],
             "peers": services.peers.peers(),
         }
@@ -97,17 +99,7 @@
         return None
 
 
-def _environment(services: ApiServices, revision: EnvironmentRevision) -> dict[str, Any]:
-    held = {
-        services.settings.daemon_id: {
-            "revision": revision.revision,
-            "since": services.configuration_since(revision),
-        }
-    }
-    suffix = f":{revision.name}"
-    for item in services.peers.items(_REVISION_ITEM):
-        if item.key.endswith(suffix):
-            held.setdefault(item.key.removesuffix(suffix), msgspec.json.decode(item.body))
+def _environment(holders: Holders, revision: EnvironmentRevision) -> dict[str, Any]:
     return {
         "environment": revision.environment,
         "stage": revision.stage,
@@ -115,7 +107,7 @@
         "digest": revision.digest,
         "accepted_at": revision.accepted_at,
         "author": revision.author,
-        "held_by": [{"daemon_id": name} | what for name, what in sorted(held.items())],
+        "held_by": holders.of(revision),
     }
 
 
--- a/src/verbenawind/cli/running.py
+++ b/src/verbenawind/cli/running.py
@@ -43,6 +43,8 @@
         aligned(("ENVIRONMENT", "DAEMON", "REVISION", "SINCE", ""), held),
         aligned(("SERVER", "KIND", "GROUP", "ZONE", "STATE", "VERSIONS"), servers),
     ]
+    if answer["unreachable_daemons"]:
+        parts.append(f"no answer from {', '.join(answer['unreachable_daemons'])}")
     return Result(value=answer, text="\n\n".join(parts))
 
 
--- a/tests/api/test_explain.py
+++ b/tests/api/test_explain.py
@@ -20,6 +20,7 @@
 from verbenawind.settings import DaemonSettings
 from verbenawind.standins.network import Process
 from verbenawind.standins.world import World
+from verbenawind.state import spreading
 
 POLLS = 500
 
@@ -84,8 +85,15 @@
 
 
 class TestStatusAndDrain:
-    def test_both_daemons_hold_the_revision_and_heed_the_drain(self) -> None:
-        """Status at one daemon names both holders; a drain at one takes effect at the other."""
+    @pytest.mark.parametrize("daemons_listed", [32, 0])
+    def test_both_daemons_hold_the_revision_and_heed_the_drain(
+        self, daemons_listed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Status at one daemon names both holders, also where they spread nothing of it.
+
+        A drain at one takes effect at the other.
+        """
+        monkeypatch.setattr(spreading, "_MAX_DAEMONS_LISTED", daemons_listed)
 
         async def scenario() -> None:
             world = World()
