Take a daemon's own revisions for status from the one record of them

Cause: the status page kept a second record of when a revision came into force, with a struct and a subscription of its own, beside the one that is spread to peers and answered to their calls.

--- a/src/verbenawind/api/holders.py
+++ b/src/verbenawind/api/holders.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Mapping, Sequence
-from datetime import datetime
 from typing import Any
 
 import msgspec
@@ -10,7 +9,7 @@
 from verbenawind.api.services import ApiServices
 from verbenawind.document import EnvironmentRevision
 from verbenawind.errors import PeerUnreachable
-from verbenawind.state.spreading import HELD_CALL
+from verbenawind.state.spreading import HELD_CALL, RevisionHeld
 
 __all__ = ["Holders", "find_holders"]
 
@@ -19,15 +18,6 @@
 _MAX_PARALLEL_CALLS = 16
 
 
-class HeldRevision(msgspec.Struct, frozen=True, kw_only=True):
-    """Which revision a daemon has in force, and since when where that is known."""
-
-    environment: str
-    stage: str
-    revision: int
-    since: datetime | None = None
-
-
 class Holders:
     """The revisions that daemons hold.
 
@@ -39,7 +29,7 @@
     __slots__ = ("_held", "unreachable")
 
     def __init__(
-        self, held: Mapping[str, Sequence[HeldRevision]], unreachable: Sequence[str]
+        self, held: Mapping[str, Sequence[RevisionHeld]], unreachable: Sequence[str]
     ) -> None:
         self._held = held
         self.unreachable = unreachable
@@ -56,10 +46,10 @@
 
 async def find_holders(services: ApiServices) -> Holders:
     """Return what all daemons hold; those that spread nothing of it are asked."""
-    held: dict[str, list[HeldRevision]] = {}
+    held: dict[str, list[RevisionHeld]] = {}
     for item in services.peers.items(_REVISION_ITEM):
         daemon_id = item.key.rpartition(":")[0]
-        held.setdefault(daemon_id, []).append(msgspec.json.decode(item.body, type=HeldRevision))
+        held.setdefault(daemon_id, []).append(msgspec.json.decode(item.body, type=RevisionHeld))
     silent = [peer.peer_id for peer in services.peers.peers() if peer.peer_id not in held]
     permits = asyncio.Semaphore(_MAX_PARALLEL_CALLS)
     answers = await asyncio.gather(*(_ask(services, peer_id, permits) for peer_id in silent))
@@ -69,27 +59,16 @@
             unreachable.append(peer_id)
         else:
             held[peer_id] = answer
-    held[services.settings.daemon_id] = [
-        _own(services, revision) for revision in services.configuration.environments()
-    ]
+    held[services.settings.daemon_id] = list(services.configuration.held())
     return Holders(held, unreachable)
 
 
 async def _ask(
     services: ApiServices, peer_id: str, permits: asyncio.Semaphore
-) -> list[HeldRevision] | None:
+) -> list[RevisionHeld] | None:
     async with permits:
         try:
             answer = await services.peers.call(peer_id, HELD_CALL, b"", _TIMEOUT_S)
-            return msgspec.json.decode(answer, type=list[HeldRevision])
+            return msgspec.json.decode(answer, type=list[RevisionHeld])
         except (PeerUnreachable, msgspec.DecodeError):
             return None
-
-
-def _own(services: ApiServices, revision: EnvironmentRevision) -> HeldRevision:
-    return HeldRevision(
-        environment=revision.environment,
-        stage=str(revision.stage),
-        revision=revision.revision,
-        since=services.configuration_since(revision),
-    )
--- a/src/verbenawind/api/services.py
+++ b/src/verbenawind/api/services.py
@@ -1,7 +1,6 @@
 """What the HTTP handlers work with."""
 
 from collections.abc import Callable
-from datetime import datetime
 from typing import Any
 
 from litestar import Request
@@ -39,7 +38,6 @@
 
     __slots__ = (
         "_callers",
-        "_since",
         "clock",
         "configuration",
         "decisions",
@@ -80,21 +78,11 @@
         self.clock = clock
         self.ready = ready
         self._callers = CallerIndex()
-        self._since: dict[str, tuple[int, datetime]] = {}
-        configuration.subscribe(self._note_since)
 
     def caller(self, request: Request[Any, Any, Any], revision: EnvironmentRevision) -> CallerSpec:
         """Return the caller of a request; raises Unauthorized."""
         return self._callers.authenticate(request, revision)
 
-    def configuration_since(self, revision: EnvironmentRevision) -> datetime | None:
-        """Return when a revision came into force on this daemon, None when that is unknown."""
-        number, since = self._since.get(revision.name, (0, None))
-        return since if number == revision.revision else None
-
-    def _note_since(self, revision: EnvironmentRevision) -> None:
-        self._since[revision.name] = (revision.revision, self.clock.now())
-
 
 def caller_of(
     request: Request[Any, Any, Any], environment: str, stage: str
--- a/src/verbenawind/state/configuration.py
+++ b/src/verbenawind/state/configuration.py
@@ -22,7 +22,7 @@
 )
 from verbenawind.ids import new_id
 from verbenawind.kernel.ports import PeerBus, Row, TableStore, Transaction, Write
-from verbenawind.state.spreading import RevisionSpreader
+from verbenawind.state.spreading import RevisionHeld, RevisionSpreader
 
 __all__ = ["ConfigurationStore"]
 
@@ -83,6 +83,10 @@
         """Call *listener* with each revision that comes into force."""
         self._listeners.append(listener)
 
+    def held(self) -> Sequence[RevisionHeld]:
+        """Return which revisions this daemon holds, and since when."""
+        return self._spreader.held()
+
     def learn(self, revision: EnvironmentRevision, source: str = "table") -> bool:
         """Put a revision into force unless a newer one is known; return whether it was new."""
         key = (revision.environment, str(revision.stage))
--- a/src/verbenawind/state/spreading.py
+++ b/src/verbenawind/state/spreading.py
@@ -90,6 +90,10 @@
         )
         self._publish(revision.name)
 
+    def held(self) -> Sequence[RevisionHeld]:
+        """Return what this daemon holds, and since when."""
+        return tuple(self._held.values())
+
     def tick(self) -> None:
         """Publish again what this daemon holds before it expires."""
         now_s = self._clock.monotonic_s()
@@ -126,4 +130,4 @@
         self._learn(revision, "a peer")
 
     async def _answer(self, _: bytes) -> bytes:
-        return msgspec.json.encode(list(self._held.values()))
+        return msgspec.json.encode(self.held())
