--- /dev/null
+++ b/src/verbenawind/batches/__init__.py
@@ -0,0 +1,32 @@
+"""Batch jobs: accepted once, run wherever engines have room, listed at fixed positions."""
+
+from verbenawind.batches.book import JobBook
+from verbenawind.batches.journal import JOBS_TABLE, JobJournal
+from verbenawind.batches.keeper import JobKeeper
+from verbenawind.batches.runner import BatchRunner
+from verbenawind.batches.service import BatchJobs
+from verbenawind.batches.types import (
+    BatchItem,
+    BatchSubmission,
+    ItemResult,
+    JobRecord,
+    JobState,
+    ResultsPage,
+    ResultState,
+)
+
+__all__ = [
+    "JOBS_TABLE",
+    "BatchItem",
+    "BatchJobs",
+    "BatchRunner",
+    "BatchSubmission",
+    "ItemResult",
+    "JobBook",
+    "JobJournal",
+    "JobKeeper",
+    "JobRecord",
+    "JobState",
+    "ResultState",
+    "ResultsPage",
+]
--- /dev/null
+++ b/src/verbenawind/batches/book.py
@@ -0,0 +1,81 @@
+"""What this daemon knows of every job, from the feed and from its own writes."""
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+import structlog
+
+from verbenawind.batches.journal import StoredJob, decode_job
+from verbenawind.batches.types import JobRecord, JobState
+from verbenawind.clock import Clock
+from verbenawind.kernel.row_ports import StoredRow
+
+__all__ = ["JobBook", "KnownJob"]
+
+
+class KnownJob:
+    """A job, and since when its present owner is known."""
+
+    __slots__ = ("job", "owned_since_s")
+
+    def __init__(self, job: StoredJob, owned_since_s: float) -> None:
+        self.job = job
+        self.owned_since_s = owned_since_s
+
+    @property
+    def record(self) -> JobRecord:
+        """The job's record."""
+        return self.job.record
+
+
+class JobBook:
+    """Jobs by id; the highest row version of each stays.
+
+    Args:
+        clock: Time source.
+    """
+
+    __slots__ = ("_clock", "_jobs", "_listeners", "_log")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._jobs: dict[str, KnownJob] = {}
+        self._listeners: list[Callable[[StoredJob], None]] = []
+        self._log = structlog.get_logger("batches")
+
+    def on_change(self, listener: Callable[[StoredJob], None]) -> None:
+        """Call *listener* with each job that has changed."""
+        self._listeners.append(listener)
+
+    def take_row(self, row: StoredRow) -> None:
+        """Take in a row of the jobs' table."""
+        if row.value is None:
+            self._jobs.pop(row.row_id.part, None)
+            return
+        try:
+            record = decode_job(row.value)
+        except msgspec.MsgspecError as error:
+            self._log.error("job_unreadable", job_id=row.row_id.part, error=str(error))
+            return
+        self.learn(StoredJob(record=record, version=row.version))
+
+    def learn(self, job: StoredJob) -> None:
+        """Take in a job unless a newer version of it is known."""
+        job_id = job.record.job_id
+        known = self._jobs.get(job_id)
+        if known is not None and known.job.version >= job.version:
+            return
+        since_s = self._clock.monotonic_s()
+        if known is not None and known.record.owner == job.record.owner:
+            since_s = known.owned_since_s
+        self._jobs[job_id] = KnownJob(job, since_s)
+        for listener in self._listeners:
+            listener(job)
+
+    def get(self, job_id: str) -> KnownJob | None:
+        """Return a job that is known here; others may exist."""
+        return self._jobs.get(job_id)
+
+    def open_jobs(self) -> Sequence[KnownJob]:
+        """Return the jobs that are worked on."""
+        return [known for known in self._jobs.values() if known.record.state is JobState.OPEN]
--- /dev/null
+++ b/src/verbenawind/batches/journal.py
@@ -0,0 +1,263 @@
+"""The lasting record of batch jobs in the row store: jobs, owners and results."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from verbenawind.batches.types import (
+    BatchSubmission,
+    ItemResult,
+    JobRecord,
+    JobState,
+    ResultState,
+)
+from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.ids import digest_hex
+from verbenawind.kernel.messages import Value
+from verbenawind.kernel.row_ports import RowCheck, RowId, RowStore, RowTransaction, RowWrite
+
+__all__ = ["JOBS_TABLE", "JobJournal", "StoredJob", "decode_job"]
+
+JOBS_TABLE = "batch-jobs"
+_RESULTS_TABLE = "batch-results"
+_JOB_KEY = "job"
+_POSITION_DIGITS = 8
+# Part of a row that results may fill; the rest is for the encoding.
+_ROW_FILL = 0.9
+_MAX_TRANSACTION_BYTES = 400 * 1024
+_MAX_TRANSACTION_ROWS = 40
+_MAX_PAGE_BYTES = 700 * 1024
+_END_TRIES = 5
+
+
+class StoredJob(Value, frozen=True, kw_only=True):
+    """A job's record and the version of its row."""
+
+    record: JobRecord
+    version: int
+
+
+class _StoredResult(Value, frozen=True, kw_only=True, array_like=True):
+    """A result in its row; a text too large for a row is an object of its own."""
+
+    item_id: str
+    state: str
+    text: str
+    versions: tuple[int, ...]
+    text_object: str = ""
+
+
+class JobJournal:
+    """Reads and writes jobs and results.
+
+    All rows of a job are one partition. Every result row is written in a transaction that checks
+    the job's row, which names the owner, so that a former owner can list nothing.
+
+    Args:
+        store: The row store.
+        max_row_bytes: The largest value of a row.
+    """
+
+    __slots__ = ("_max_row_bytes", "_store")
+
+    def __init__(self, store: RowStore, max_row_bytes: int) -> None:
+        self._store = store
+        self._max_row_bytes = max_row_bytes
+
+    async def accept(
+        self, submission: BatchSubmission, record: JobRecord, timeout_s: float
+    ) -> StoredJob:
+        """Record a job unless it is there, and return it as it stands.
+
+        Raises:
+            StoreUnavailable: ``effect_possible`` says whether it may have been recorded.
+        """
+        data = msgspec.msgpack.encode(submission)
+        await self._put(_submission_object(record.job_id), data, timeout_s)
+        row_id = _job_row(record.job_id)
+        try:
+            version = await self._store.commit(
+                RowTransaction(
+                    checks=(RowCheck(row_id=row_id, version=0),),
+                    writes=(RowWrite(row_id=row_id, value=msgspec.json.encode(record)),),
+                ),
+                timeout_s,
+            )
+        except RowConflict:
+            known = await self.job(record.job_id, timeout_s)
+            if known is None:
+                raise StoreUnavailable(
+                    f"job {record.job_id} was there and is gone", effect_possible=True
+                ) from None
+            return known
+        return StoredJob(record=record, version=version)
+
+    async def job(self, job_id: str, timeout_s: float) -> StoredJob | None:
+        """Return a job's record, None where there is no such job."""
+        page = await self._store.rows(JOBS_TABLE, job_id, timeout_s)
+        for row in page.rows:
+            if row.value is not None:
+                return StoredJob(record=decode_job(row.value), version=row.version)
+        return None
+
+    async def submission(self, job_id: str, timeout_s: float) -> BatchSubmission:
+        """Return a job as it was submitted."""
+        data = await self._store.get_object(_submission_object(job_id), timeout_s)
+        if data is None:
+            raise StoreUnavailable(f"the items of job {job_id} are missing", effect_possible=False)
+        return msgspec.msgpack.decode(data, type=BatchSubmission)
+
+    async def update(self, job: StoredJob, record: JobRecord, timeout_s: float) -> StoredJob:
+        """Replace a job's record; raises RowConflict when it has changed meanwhile."""
+        row_id = _job_row(record.job_id)
+        version = await self._store.commit(
+            RowTransaction(
+                checks=(RowCheck(row_id=row_id, version=job.version),),
+                writes=(RowWrite(row_id=row_id, value=msgspec.json.encode(record)),),
+            ),
+            timeout_s,
+        )
+        return StoredJob(record=record, version=version)
+
+    async def end(self, job_id: str, timeout_s: float) -> StoredJob | None:
+        """End a job, whoever owns it; None where there is no such job."""
+        for _ in range(_END_TRIES):
+            job = await self.job(job_id, timeout_s)
+            if job is None or job.record.state is JobState.ENDED:
+                return job
+            ended = msgspec.structs.replace(job.record, state=JobState.ENDED)
+            try:
+                return await self.update(job, ended, timeout_s)
+            except RowConflict:
+                continue
+        raise StoreUnavailable(f"job {job_id} changes too often to be ended", effect_possible=False)
+
+    async def append(
+        self, job: StoredJob, position: int, results: Sequence[ItemResult], timeout_s: float
+    ) -> int:
+        """List results from a position on and return how many were listed.
+
+        Fewer than were given are listed where they don't fit one transaction.
+
+        Raises:
+            RowConflict: The job has another owner, or has ended.
+        """
+        job_id = job.record.job_id
+        checks = [RowCheck(row_id=_job_row(job_id), version=job.version)]
+        writes: list[RowWrite] = []
+        listed = size_bytes = 0
+        while listed < len(results) and len(writes) < _MAX_TRANSACTION_ROWS:
+            row, count = await self._row(job_id, results[listed:], timeout_s)
+            if writes and size_bytes + len(row) > _MAX_TRANSACTION_BYTES:
+                break
+            listed += count
+            size_bytes += len(row)
+            row_id = _result_row(job_id, position + listed - 1)
+            checks.append(RowCheck(row_id=row_id, version=0))
+            writes.append(RowWrite(row_id=row_id, value=row))
+        await self._store.commit(
+            RowTransaction(checks=tuple(checks), writes=tuple(writes)), timeout_s
+        )
+        return listed
+
+    async def results(
+        self, job_id: str, after: int, timeout_s: float, *, limit: int = 100
+    ) -> Sequence[ItemResult]:
+        """Return listed results from a position on, as many as one answer holds."""
+        page = await self._store.rows(
+            _RESULTS_TABLE, job_id, timeout_s, first=_position_key(after), limit=limit
+        )
+        found: list[ItemResult] = []
+        size_bytes = 0
+        for row in page.rows:
+            if row.value is None:
+                continue
+            stored = msgspec.msgpack.decode(row.value, type=list[_StoredResult])
+            first = int(row.row_id.key) - len(stored) + 1
+            for result in stored[max(0, after - first) :]:
+                text = await self._text(result, timeout_s)
+                size_bytes += len(text)
+                if found and size_bytes > _MAX_PAGE_BYTES:
+                    return found
+                found.append(
+                    ItemResult(
+                        item_id=result.item_id,
+                        state=ResultState(result.state),
+                        text=text,
+                        versions=result.versions,
+                    )
+                )
+        return found
+
+    async def _row(
+        self, job_id: str, results: Sequence[ItemResult], timeout_s: float
+    ) -> tuple[bytes, int]:
+        """Return the value of a row with as many of the results as fit, and their number."""
+        room_bytes = int(self._max_row_bytes * _ROW_FILL)
+        row: list[_StoredResult] = []
+        encoded = b""
+        for result in results:
+            stored = _stored(result)
+            if len(msgspec.msgpack.encode([stored])) > room_bytes:
+                stored = await self._as_object(job_id, stored, timeout_s)
+            longer = msgspec.msgpack.encode([*row, stored])
+            if row and len(longer) > room_bytes:
+                break
+            row.append(stored)
+            encoded = longer
+        return encoded, len(row)
+
+    async def _as_object(
+        self, job_id: str, stored: _StoredResult, timeout_s: float
+    ) -> _StoredResult:
+        data = stored.text.encode()
+        name = f"text-{job_id}-{stored.item_id}-{digest_hex(data)[:16]}"
+        await self._put(name, data, timeout_s)
+        return msgspec.structs.replace(stored, text="", text_object=name)
+
+    async def _text(self, result: _StoredResult, timeout_s: float) -> str:
+        if not result.text_object:
+            return result.text
+        data = await self._store.get_object(result.text_object, timeout_s)
+        if data is None:
+            raise StoreUnavailable(f"text {result.text_object} is missing", effect_possible=False)
+        return data.decode()
+
+    async def _put(self, name: str, data: bytes, timeout_s: float) -> None:
+        """Store an object; a try whose answer was lost does no harm."""
+        try:
+            await self._store.put_object(name, data, timeout_s)
+        except StoreUnavailable as error:
+            # An object that no row names is nothing.
+            raise StoreUnavailable(error.message, effect_possible=False) from error
+
+
+def decode_job(value: bytes) -> JobRecord:
+    """Return the record in a job's row."""
+    return msgspec.json.decode(value, type=JobRecord)
+
+
+def _stored(result: ItemResult) -> _StoredResult:
+    return _StoredResult(
+        item_id=result.item_id,
+        state=result.state.value,
+        text=result.text,
+        versions=result.versions,
+    )
+
+
+def _job_row(job_id: str) -> RowId:
+    return RowId(table=JOBS_TABLE, part=job_id, key=_JOB_KEY)
+
+
+def _result_row(job_id: str, last_position: int) -> RowId:
+    """Rows are named by their last position, so that a read from any position finds its row."""
+    return RowId(table=_RESULTS_TABLE, part=job_id, key=_position_key(last_position))
+
+
+def _position_key(position: int) -> str:
+    return f"{position:0{_POSITION_DIGITS}d}"
+
+
+def _submission_object(job_id: str) -> str:
+    return f"batch-{job_id}"
--- /dev/null
+++ b/src/verbenawind/batches/keeper.py
@@ -0,0 +1,125 @@
+"""Takes over jobs whose owner is gone; the conditional write of the job's row decides."""
+
+from collections.abc import Sequence
+
+import msgspec
+import structlog
+
+from verbenawind.batches.book import JobBook, KnownJob
+from verbenawind.batches.journal import JobJournal
+from verbenawind.batches.runner import BatchRunner
+from verbenawind.clock import Clock
+from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.kernel.rendezvous import top
+from verbenawind.state.beats import HostBeats
+
+__all__ = ["JobKeeper", "claim_delay_s"]
+
+_LOOK_S = 0.1
+_CLAIM_TIMEOUT_S = 2.0
+# Each further daemon in a job's order of claimants waits so much longer.
+_RANK_DELAY_S = 0.4
+_MAX_RANKED = 8
+
+
+def claim_delay_s(job_id: str, host: str, claimants: Sequence[str]) -> float:
+    """Return how long a daemon leaves a job without owner to those that come before it."""
+    order = top(job_id, claimants, _MAX_RANKED)
+    rank = order.index(host) if host in order else _MAX_RANKED
+    return rank * _RANK_DELAY_S
+
+
+class JobKeeper:
+    """Claims jobs that nobody runs.
+
+    Args:
+        book: Every job that is known.
+        journal: The lasting record.
+        runner: Runs claimed jobs.
+        beats: Who is there.
+        clock: Time source.
+    """
+
+    __slots__ = (
+        "_beats",
+        "_book",
+        "_clock",
+        "_journal",
+        "_log",
+        "_orphan_since_s",
+        "_runner",
+        "paused",
+        "takeovers",
+    )
+
+    def __init__(
+        self,
+        book: JobBook,
+        journal: JobJournal,
+        runner: BatchRunner,
+        beats: HostBeats,
+        clock: Clock,
+    ) -> None:
+        self._book = book
+        self._journal = journal
+        self._runner = runner
+        self._beats = beats
+        self._clock = clock
+        self._orphan_since_s: dict[str, float] = {}
+        self._log = structlog.get_logger("batches")
+        self.paused = False
+        self.takeovers = 0
+
+    async def run(self) -> None:
+        """Look for jobs without a live owner until cancelled."""
+        while True:
+            for known in self._book.open_jobs():
+                if self.paused:
+                    break
+                await self._look(known)
+            await self._clock.sleep(_LOOK_S)
+
+    async def _look(self, known: KnownJob) -> None:
+        record = known.record
+        if record.owner == self._runner.owner:
+            # A job that was dropped after a conflict, and is this daemon's all the same.
+            self._runner.take(known.job)
+            return
+        if record.owner and not self._beats.is_gone(record.owner, known.owned_since_s):
+            self._orphan_since_s.pop(record.job_id, None)
+            return
+        now_s = self._clock.monotonic_s()
+        since_s = self._orphan_since_s.setdefault(record.job_id, now_s)
+        if now_s - since_s >= self._delay_s(record.job_id, record.owner):
+            self._orphan_since_s.pop(record.job_id, None)
+            await self._claim(known)
+
+    def _delay_s(self, job_id: str, owner: str) -> float:
+        own = self._beats.own.host
+        former = owner.partition("#")[0]
+        if former == own:
+            return 0.0
+        return claim_delay_s(job_id, own, self._beats.claimants([former]))
+
+    async def _claim(self, known: KnownJob) -> None:
+        record = known.record
+        claimed = msgspec.structs.replace(record, owner=self._runner.owner, epoch=record.epoch + 1)
+        self._log.info(
+            "job_claim",
+            job_id=record.job_id,
+            former_owner=record.owner,
+            epoch=claimed.epoch,
+            owned_since_s=round(self._clock.monotonic_s() - known.owned_since_s, 2),
+            view_age_s=round(self._beats.view_age_s(), 2),
+        )
+        try:
+            stored = await self._journal.update(known.job, claimed, _CLAIM_TIMEOUT_S)
+        except RowConflict as conflict:
+            self._log.info("job_claim_lost", job_id=record.job_id, reason=conflict.message)
+            return
+        except StoreUnavailable as error:
+            self._log.info("job_claim_failed", job_id=record.job_id, reason=error.message)
+            return
+        self.takeovers += 1
+        self._book.learn(stored)
+        self._runner.take(stored)
--- /dev/null
+++ b/src/verbenawind/batches/owned_job.py
@@ -0,0 +1,97 @@
+"""A job that this daemon runs: what is listed, what is held, and what is still to do."""
+
+import asyncio
+from collections.abc import Collection, Sequence
+
+from verbenawind.batches.item_run import HeldText
+from verbenawind.batches.journal import StoredJob
+from verbenawind.batches.ordering import Rank, rank_items
+from verbenawind.batches.types import BatchItem, BatchSubmission, ItemResult
+
+__all__ = ["ItemWork", "OwnedJob"]
+
+
+class ItemWork:
+    """An item that is not finished."""
+
+    __slots__ = ("excluded", "failures", "held", "item", "not_before_s", "rank", "task")
+
+    def __init__(self, item: BatchItem, rank: Rank, held: HeldText) -> None:
+        self.item = item
+        self.rank = rank
+        self.held = held
+        self.failures = 0
+        self.excluded: set[str] = set()
+        self.not_before_s = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+
+class OwnedJob:
+    """One owned job.
+
+    Args:
+        stored: The job's row under this owner.
+        submission: The job as it was submitted.
+        listed: Ids of the items that are listed, in order.
+        held: Text of unfinished items from earlier jobs or owners, by item.
+        returning_groups: Groups that an earlier job left unfinished.
+    """
+
+    __slots__ = (
+        "committing",
+        "finished",
+        "finished_since_s",
+        "position",
+        "stored",
+        "submission",
+        "work",
+    )
+
+    def __init__(
+        self,
+        stored: StoredJob,
+        submission: BatchSubmission,
+        *,
+        listed: Sequence[str] = (),
+        held: dict[str, HeldText] | None = None,
+        returning_groups: Collection[str] = (),
+    ) -> None:
+        ranks = rank_items(submission, returning_groups)
+        done = set(listed)
+        texts = held or {}
+        self.stored = stored
+        self.submission = submission
+        self.position = len(listed)
+        self.finished: list[ItemResult] = []
+        self.finished_since_s = 0.0
+        self.committing: asyncio.Task[None] | None = None
+        self.work = {
+            item.item_id: ItemWork(item, ranks[item.item_id], texts.get(item.item_id, HeldText()))
+            for item in submission.items
+            if item.item_id not in done
+        }
+
+    @property
+    def job_id(self) -> str:
+        """The job's id."""
+        return self.stored.record.job_id
+
+    @property
+    def waiting(self) -> Sequence[ItemWork]:
+        """Items that run nowhere."""
+        return [work for work in self.work.values() if work.task is None]
+
+    def finish(self, result: ItemResult, now_s: float) -> None:
+        """Take an item out of the work; its result waits to be listed."""
+        self.work.pop(result.item_id, None)
+        if not self.finished:
+            self.finished_since_s = now_s
+        self.finished.append(result)
+
+    def cancel(self) -> None:
+        """Stop every run."""
+        for work in self.work.values():
+            if work.task is not None:
+                work.task.cancel()
+        if self.committing is not None:
+            self.committing.cancel()
--- a/src/verbenawind/clock.py
+++ b/src/verbenawind/clock.py
@@ -5,7 +5,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
-__all__ = ["Clock", "LoopClock", "SystemClock"]
+__all__ = ["Clock", "LoopClock", "SystemClock", "boot_time_s"]
 
 
 class Clock(Protocol):
@@ -39,6 +39,11 @@
         await asyncio.sleep(duration_s)
 
 
+def boot_time_s() -> float:
+    """Return seconds since the host started, those for which it was suspended included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class LoopClock:
     """The running event loop's clock, so that a virtual-time loop also moves wall-clock time.
 
--- a/src/verbenawind/document/loading.py
+++ b/src/verbenawind/document/loading.py
@@ -77,17 +77,26 @@
     return digest_hex(canonical_bytes(document))
 
 
-def convert_all(raw: Any, kind: Any, path: str) -> Iterator[str]:
-    """Yield every fault that keeps *raw* from being a *kind*, with path and value."""
+def convert_all(raw: Any, kind: Any, path: str, *, unknown_allowed: bool = False) -> Iterator[str]:
+    """Yield every fault that keeps *raw* from being a *kind*, with path and value.
+
+    Args:
+        raw: The value as it was read.
+        kind: The type that it should convert to.
+        path: Where the value stands.
+        unknown_allowed: Whether fields that *kind* does not have are passed over.
+    """
     while typing.get_origin(kind) is typing.Annotated and _has_parts(typing.get_args(kind)[0]):
         kind = typing.get_args(kind)[0]
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
-        yield from _struct_faults(raw, kind, path)
+        yield from _struct_faults(raw, kind, path, unknown_allowed)
         return
     if typing.get_origin(kind) is tuple and isinstance(raw, list):
         item_kind = typing.get_args(kind)[0]
         for index, item in enumerate(raw):
-            yield from convert_all(item, item_kind, f"{path}[{index}]")
+            yield from convert_all(
+                item, item_kind, f"{path}[{index}]", unknown_allowed=unknown_allowed
+            )
         return
     if isinstance(kind, types.UnionType) and raw is None:
         return
@@ -102,17 +111,21 @@
     return is_struct or typing.get_origin(kind) is tuple
 
 
-def _struct_faults(raw: Any, kind: type[msgspec.Struct], path: str) -> Iterator[str]:
+def _struct_faults(
+    raw: Any, kind: type[msgspec.Struct], path: str, unknown_allowed: bool
+) -> Iterator[str]:
     if not isinstance(raw, dict):
         yield f"{path}: expected an object (value {_shown(raw)})"
         return
     hints = typing.get_type_hints(kind, include_extras=True)
     fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
-    for name in raw.keys() - fields.keys():
+    for name in () if unknown_allowed else raw.keys() - fields.keys():
         yield f"{path}.{name}: unknown field (value {_shown(raw[name])})"
     for name, field in fields.items():
         if name in raw:
-            yield from convert_all(raw[name], hints[field.name], f"{path}.{name}")
+            yield from convert_all(
+                raw[name], hints[field.name], f"{path}.{name}", unknown_allowed=unknown_allowed
+            )
         elif field.required:
             yield f"{path}.{name}: missing"
 
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -1,6 +1,6 @@
 """Errors with a stable code, the outcome of the request they end, and when to come back."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import StrEnum
 from typing import ClassVar
 
@@ -18,6 +18,7 @@
     "Forbidden",
     "GradeConflict",
     "HeadersTooLarge",
+    "HistoryLost",
     "IdempotencyKeyReused",
     "InvalidRequest",
     "LeaseLost",
@@ -31,6 +32,7 @@
     "RequestConvicted",
     "RequestTooSlow",
     "RevisionConflict",
+    "RowConflict",
     "SettingsInvalid",
     "StepConflict",
     "StoreUnavailable",
@@ -281,6 +283,27 @@
         self.keys = tuple(keys)
 
 
+class RowConflict(VerbenawindError):
+    """A transaction's checks did not hold.
+
+    Args:
+        message: Which rows had other versions.
+        versions: The current version of each checked row by its key, 0 where it is absent.
+    """
+
+    code = "row_conflict"
+
+    def __init__(self, message: str, versions: Mapping[str, int]) -> None:
+        super().__init__(message)
+        self.versions = dict(versions)
+
+
+class HistoryLost(VerbenawindError):
+    """A change feed cannot go on from the version that was asked for."""
+
+    code = "history_lost"
+
+
 class LeaseLost(VerbenawindError):
     """Raised when a lease lapsed or passed to another holder before an action under it."""
 
--- /dev/null
+++ b/src/verbenawind/gateway/streaming.py
@@ -0,0 +1,172 @@
+"""Forwards an event stream, and goes on with it elsewhere where the route allows."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import (
+    AdmissionRefused,
+    BackendServerFailed,
+    BackendServerUnreachable,
+    DeadlineExceeded,
+    NoBackendServer,
+    Outcome,
+    VerbenawindError,
+)
+from verbenawind.gateway.balance import choose
+from verbenawind.gateway.directory import Backend, Directory
+from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest
+from verbenawind.gateway.types import Route
+from verbenawind.kernel.messages import Location
+
+__all__ = ["StreamForwarder"]
+
+_NO_SERVER_RETRY_S = 0.5
+# A stream that gives no event for so long goes on elsewhere, where it may.
+_STALL_S = 1.0
+_OK = 200
+
+
+class StreamForwarder:
+    """Forwards streams event by event.
+
+    Args:
+        directory: The backend servers.
+        port: Sends to them.
+        location: Where this daemon runs.
+        clock: Time source.
+    """
+
+    __slots__ = ("_clock", "_directory", "_location", "_log", "_port")
+
+    def __init__(
+        self, directory: Directory, port: BackendPort, location: Location, clock: Clock
+    ) -> None:
+        self._directory = directory
+        self._port = port
+        self._location = location
+        self._clock = clock
+        self._log = structlog.get_logger("gateway")
+
+    async def forward(
+        self, request: CallerRequest, route: Route, service: str
+    ) -> AsyncGenerator[Answer | bytes, None]:
+        """Yield the first server's response head, then the bytes of each whole event.
+
+        Raises:
+            VerbenawindError: The stream did not begin, or broke off and may not go on.
+        """
+        tried: set[str] = set()
+        begun: Answer | None = None
+        last_id = request.resume_after
+        sends = 0
+        error: VerbenawindError | None = None
+        while sends < route.max_attempts and (begun is None or route.resumable):
+            chosen = choose(self._directory.backends(service), self._location, tried)
+            if chosen is None:
+                break
+            backend, choice = chosen
+            tried.add(choice.instance_id)
+            remaining_s = request.deadline_s - self._clock.monotonic_s()
+            if remaining_s <= 0:
+                break
+            self._log.info(
+                "stream_sent",
+                request_id=request.request_id,
+                route=route.name,
+                server=choice.instance_id,
+                resume_after=last_id,
+                remaining_s=round(remaining_s, 3),
+                outstanding=choice.outstanding,
+            )
+            sends += 1
+            backend.outstanding += 1
+            answer: Answer | None = None
+            try:
+                answer = await self._open(backend, request, remaining_s, last_id)
+                if begun is None:
+                    begun = answer
+                    yield answer
+                    if answer.status != _OK:
+                        while data := await answer.chunk():
+                            yield data
+                        return
+                async for event_id, raw in self._events(answer, route):
+                    if last_id is not None and event_id != last_id + 1:
+                        raise BackendServerFailed(
+                            f"event {event_id} came after {last_id} of {request.request_id}"
+                        )
+                    last_id = event_id
+                    yield raw
+                backend.succeeded(0.0)
+                return
+            except (AdmissionRefused, BackendServerUnreachable) as refusal:
+                sends -= 1 if begun is None else 0
+                error = refusal
+                backend.failed()
+            except BackendServerFailed as failure:
+                error = failure
+                backend.failed()
+                self._log.info(
+                    "stream_broke",
+                    request_id=request.request_id,
+                    server=choice.instance_id,
+                    error=failure.message,
+                    last_event=last_id,
+                )
+                if not route.resumable:
+                    break
+            finally:
+                backend.outstanding -= 1
+                if answer is not None:
+                    answer.close()
+        raise self._ending(request, service, error, sends)
+
+    async def _open(
+        self, backend: Backend, request: CallerRequest, remaining_s: float, last_id: int | None
+    ) -> Answer:
+        attempt = Attempt(
+            request=request,
+            remaining_s=remaining_s,
+            resume_after=last_id,
+            fresh_connection=True,
+        )
+        answer = await self._port.send(backend.instance, attempt)
+        name = backend.instance.instance_id
+        if answer.refused:
+            answer.close()
+            raise AdmissionRefused(f"server {name} refused the stream with {answer.status}")
+        if not answer.signed:
+            answer.close()
+            raise BackendServerFailed(f"server {name} gave an unsigned {answer.status}")
+        return answer
+
+    async def _events(
+        self, answer: Answer, route: Route
+    ) -> AsyncGenerator[tuple[int, bytes], None]:
+        while True:
+            try:
+                async with asyncio.timeout(_STALL_S if route.resumable else None):
+                    events = await answer.events()
+            except TimeoutError as error:
+                raise BackendServerFailed(f"the stream gave no event for {_STALL_S} s") from error
+            if events is None:
+                return
+            for event in events:
+                yield event.event_id, event.raw
+
+    def _ending(
+        self, request: CallerRequest, service: str, error: VerbenawindError | None, sends: int
+    ) -> VerbenawindError:
+        if error is not None:
+            return error
+        if sends:
+            return DeadlineExceeded(
+                f"stream {request.request_id} was not answered in time",
+                outcome=Outcome.MAY_HAVE_RUN,
+            )
+        return NoBackendServer(
+            f"service {service} has no server to send to", retry_after_s=_NO_SERVER_RETRY_S
+        )
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
-from typing import Any
+from typing import Any, cast
 
+import h11
 import msgspec
 import uvicorn
 from h11 import Data, EndOfMessage, LocalProtocolError, Response
@@ -17,6 +19,8 @@
 __all__ = ["HttpServer"]
 
 _START_POLL_S = 0.01
+_HEADERS_TOO_LARGE = 431
+_MAX_HEAD_BYTES = 32 * 1024
 
 
 class _QuietServer(uvicorn.Server):
@@ -28,6 +32,29 @@
         yield
 
 
+class _Connection(h11.Connection):
+    """Remembers the status that fits a protocol error, and refuses ambiguous framing."""
+
+    def __init__(self, role: Any, max_incomplete_event_size: int | None) -> None:
+        super().__init__(role, max_incomplete_event_size or _MAX_HEAD_BYTES)
+        self.error_status = 400
+
+    def next_event(self) -> Any:
+        """Return the next event; a request with two lengths of its body is malformed."""
+        try:
+            event = super().next_event()
+            if isinstance(event, h11.Request):
+                names = {name for name, _ in event.headers}
+                if {b"content-length", b"transfer-encoding"} <= names:
+                    raise h11.RemoteProtocolError(
+                        "a request has either a Content-Length or a Transfer-Encoding"
+                    )
+        except h11.RemoteProtocolError as error:
+            self.error_status = error.error_status_hint
+            raise
+        return event
+
+
 class _Protocol(H11Protocol):
     """Limits connections, closes those that send or read too slowly, and answers in JSON."""
 
@@ -37,9 +64,12 @@
         header_timeout_s: float,
         write_timeout_s: float,
         max_connections: int | None,
+        keep_alive_s: Callable[[], float] | None,
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
+        self.conn = _Connection(h11.SERVER, self.config.h11_max_incomplete_event_size)
+        self._keep_alive_s = keep_alive_s
         self._write_timeout_s = write_timeout_s
         self._write_timer: asyncio.TimerHandle | None = None
         self._max_connections = max_connections
@@ -68,6 +98,12 @@
         self._stop_write_timer()
         super().connection_lost(exc)
 
+    def on_response_complete(self) -> None:
+        """Keep the connection for as long as the limits in force say."""
+        if self._keep_alive_s is not None:
+            self.timeout_keep_alive = math.ceil(self._keep_alive_s())
+        super().on_response_complete()
+
     def pause_writing(self) -> None:
         """Give a reader that is behind its time; its answer holds a backend server."""
         super().pause_writing()
@@ -80,7 +116,10 @@
 
     def send_400_response(self, msg: str) -> None:
         """Answer malformed HTTP with the body that every error has."""
-        self._answer(400, "invalid_request", msg)
+        if cast(_Connection, self.conn).error_status == _HEADERS_TOO_LARGE:
+            self._answer(_HEADERS_TOO_LARGE, "headers_too_large", "the request's head is too large")
+        else:
+            self._answer(400, "invalid_request", msg)
 
     def _head_is_late(self) -> None:
         self._head_timer = None
@@ -142,6 +181,8 @@
         max_connections: Connections beyond this number are answered 503.
         header_timeout_s: A connection without a whole request head by then is closed.
         write_timeout_s: A connection whose reader takes nothing for so long is closed.
+        keep_alive_s: How long a connection may rest between requests; asked after each one.
+        max_head_bytes: A request line and headers beyond this size are refused.
     """
 
     __slots__ = ("_server", "_socket", "_task")
@@ -155,6 +196,8 @@
         max_connections: int | None = None,
         header_timeout_s: float = 10.0,
         write_timeout_s: float = 30.0,
+        keep_alive_s: Callable[[], float] | None = None,
+        max_head_bytes: int = _MAX_HEAD_BYTES,
     ) -> None:
         # asyncio switches Nagle's algorithm off only for sockets that name their protocol.
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
@@ -168,13 +211,14 @@
                 header_timeout_s=header_timeout_s,
                 write_timeout_s=write_timeout_s,
                 max_connections=max_connections,
+                keep_alive_s=keep_alive_s,
             ),
             ws="none",
             lifespan="off",
             log_config=None,
             log_level="warning",
             access_log=False,
-            h11_max_incomplete_event_size=32 * 1024,
+            h11_max_incomplete_event_size=max_head_bytes,
             server_header=False,
             proxy_headers=False,
         )
--- a/src/verbenawind/logs.py
+++ b/src/verbenawind/logs.py
@@ -2,24 +2,60 @@
 
 import logging
 import sys
-from collections.abc import MutableMapping
-from typing import Any
+import time
+from collections.abc import Mapping, MutableMapping
+from typing import Any, TextIO, cast
 
 import structlog
 
 from verbenawind.decisions import keep_decisions
+from verbenawind.log_output import LineLimiter, NonBlockingOutput
 
-__all__ = ["configure_logs"]
+__all__ = ["LogCounts", "configure_logs"]
 
 
-def configure_logs(level: str, **context: str) -> None:
-    """Write log lines of *level* and above to standard error, each with *context*.
+class LogCounts:
+    """Counts log lines that were not written.
+
+    Args:
+        output: Counts lines that found no reader.
+        limiter: Counts lines beyond the rate of their event.
+    """
+
+    __slots__ = ("_limiter", "_output")
+
+    def __init__(self, output: NonBlockingOutput, limiter: LineLimiter) -> None:
+        self._output = output
+        self._limiter = limiter
+
+    @property
+    def dropped(self) -> int:
+        """Lines that found no reader."""
+        return self._output.dropped
+
+    @property
+    def omitted(self) -> Mapping[str, int]:
+        """Lines beyond the rate of their event, by event."""
+        return self._limiter.omitted
+
+    def drain(self) -> None:
+        """Write what waits, as far as the reader takes it."""
+        self._output.drain()
+
+
+def configure_logs(level: str, **context: str) -> LogCounts:
+    """Write log lines of *level* and above to standard output, each with *context*.
 
     Lines of level info are kept for ``explain`` even where *level* writes fewer.
+
+    Returns:
+        What was dropped or left out, for the metrics.
     """
+    output = NonBlockingOutput(sys.stdout.fileno())
+    limiter = LineLimiter(time.monotonic)
     threshold = logging.getLevelNamesMapping()[level.upper()]
     renderer: structlog.typing.Processor
-    if sys.stderr.isatty():
+    if sys.stdout.isatty():
         renderer = structlog.dev.ConsoleRenderer()
     else:
         renderer = structlog.processors.JSONRenderer()
@@ -30,19 +66,23 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             keep_decisions,
             _LevelFilter(threshold),
+            limiter,
             structlog.processors.format_exc_info,
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(min(threshold, logging.INFO)),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, output)),
     )
     # Libraries log through the standard library, where each HTTP call is a line of level INFO.
     logging.getLogger().setLevel(logging.WARNING)
     structlog.contextvars.bind_contextvars(**context)
-    _redirect_libraries(max(threshold, logging.WARNING), renderer)
+    _redirect_libraries(max(threshold, logging.WARNING), renderer, output)
+    return LogCounts(output, limiter)
 
 
-def _redirect_libraries(threshold: int, renderer: structlog.typing.Processor) -> None:
+def _redirect_libraries(
+    threshold: int, renderer: structlog.typing.Processor, output: NonBlockingOutput
+) -> None:
     """Write what libraries log through the standard module in the same form."""
     formatter = structlog.stdlib.ProcessorFormatter(
         foreign_pre_chain=[
@@ -54,7 +94,7 @@
         ],
         processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, renderer],
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(output)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/src/verbenawind/platform/backends.py
@@ -0,0 +1,245 @@
+"""Speaks to the platform's backend servers: requests, streams, orders and reports."""
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
+from verbenawind.clock import Clock
+from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.gateway import Attempt, Instance
+from verbenawind.gateway.events import EventReader, StreamEvent
+from verbenawind.platform.names import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    EXPECT_INSTANCE_HEADER,
+    EXPECT_VERSION_HEADER,
+    LAST_EVENT_HEADER,
+    NOT_RUN_HEADER,
+    SIGNATURE_HEADER,
+    VERSION_HEADER,
+)
+from verbenawind.plugins.http1_client import Header, Http1Client, Http1Request, Http1Response
+from verbenawind.weights.desk import EngineReport
+from verbenawind.weights.rolling import LoadOrder, OrderAnswer, OrderReply, SwapMode
+
+__all__ = ["HttpAnswer", "HttpBackends"]
+
+# The engine has another instance at this address, or other weights than expected.
+_MISDIRECTED = 421
+_MS = 1000
+_ORDER_PATH = "/api/order"
+
+# Headers of one connection, and those that a send sets itself.
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        ATTEMPT_HEADER,
+        DEADLINE_HEADER,
+        EXPECT_INSTANCE_HEADER,
+        EXPECT_VERSION_HEADER,
+        LAST_EVENT_HEADER,
+    )
+)
+
+_MODES = {
+    # Runs go on under the new weights.
+    SwapMode.IN_PLACE: "retain",
+    # The name misleads: runs finish first, nothing polls.
+    SwapMode.DRAIN: "long_poll",
+}
+
+
+class HttpAnswer:
+    """A backend server's response; implements the Answer port."""
+
+    __slots__ = ("_reader", "_response", "headers", "status")
+
+    def __init__(self, response: Http1Response) -> None:
+        self._response = response
+        self._reader = EventReader(VERSION_HEADER.lower())
+        self.status = response.status
+        self.headers: Sequence[Header] = response.headers
+
+    @property
+    def refused(self) -> bool:
+        """Whether the server states that it did not run the request."""
+        return self._response.header(NOT_RUN_HEADER) is not None or self.status == _MISDIRECTED
+
+    @property
+    def signed(self) -> bool:
+        """Whether the response bears the server's own mark."""
+        return self._response.header(SIGNATURE_HEADER) is not None
+
+    @property
+    def version(self) -> int | None:
+        """The weight version that the response began with."""
+        value = self._response.header(VERSION_HEADER)
+        return int(value) if value is not None and value.isdigit() else None
+
+    async def chunk(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end."""
+        return await self._response.chunk()
+
+    async def events(self) -> Sequence[StreamEvent] | None:
+        """Return the next whole events, or None after the last one."""
+        while True:
+            data = await self._response.chunk()
+            if not data:
+                if self._reader.pending:
+                    raise BackendServerFailed("the stream ended within an event")
+                return None
+            if events := self._reader.feed(data):
+                return events
+
+    def close(self) -> None:
+        """Give the response up, so that the server stops its work."""
+        self._response.close()
+
+
+class _WireReply(msgspec.Struct, rename="kebab"):
+    """An engine's answer to an order; ``seq`` counts the orders that it accepted."""
+
+    seq: int | None = None
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _WireReport(msgspec.Struct, rename="kebab"):
+    """An engine's report, some hundred ms old; ``busy`` means that an order is under way."""
+
+    models: list[_WireModel] = []
+    busy: bool = False
+    seq: int = 0
+    num_running: int = 0
+    num_waiting: int = 0
+
+
+class HttpBackends:
+    """Sends requests and orders to backend servers over HTTP.
+
+    Args:
+        client: Connections.
+        clock: Time source.
+        holder: The name that orders are given under.
+    """
+
+    __slots__ = ("_client", "_clock", "_holder")
+
+    def __init__(self, client: Http1Client, clock: Clock, holder: str) -> None:
+        self._client = client
+        self._clock = clock
+        self._holder = holder
+
+    async def send(self, instance: Instance, attempt: Attempt) -> HttpAnswer:
+        """Return the server's response once its head has arrived."""
+        request = attempt.request
+        headers = [
+            ("Host", request.host),
+            *((name, value) for name, value in request.headers if name.lower() not in _OWN_HEADERS),
+            (ATTEMPT_HEADER, request.request_id),
+            (DEADLINE_HEADER, str(max(1, int(attempt.remaining_s * _MS)))),
+            (EXPECT_INSTANCE_HEADER, instance.instance_id),
+        ]
+        if attempt.resume_after is not None:
+            headers.append((LAST_EVENT_HEADER, str(attempt.resume_after)))
+        if attempt.expect_version is not None:
+            headers.append((EXPECT_VERSION_HEADER, str(attempt.expect_version)))
+        response = await self._client.send(
+            instance.address,
+            Http1Request(
+                method=request.method,
+                target=request.target,
+                headers=headers,
+                body=request.body,
+                echo=(ATTEMPT_HEADER, request.request_id),
+            ),
+            fresh=attempt.fresh_connection,
+        )
+        try:
+            await response.head()
+        except BaseException:
+            response.close()
+            raise
+        return HttpAnswer(response)
+
+    async def order(self, instance: Instance, order: LoadOrder, timeout_s: float) -> OrderReply:
+        """Have an engine load a version; an answer that is lost leaves the outcome open."""
+        body = {
+            "op-type": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": _MODES[order.mode],
+            "holder": self._holder,
+            "fencing-token": order.fencing_number,
+        }
+        if order.expected_orders is not None:
+            body["expect"] = order.expected_orders
+        request = Http1Request(
+            method="POST",
+            target=_ORDER_PATH,
+            headers=[
+                ("Host", instance.address),
+                ("Content-Type", "application/json"),
+                (EXPECT_INSTANCE_HEADER, instance.instance_id),
+            ],
+            body=msgspec.json.encode(body),
+        )
+        response: Http1Response | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._client.send(instance.address, request)
+                await response.head()
+                await response.body()
+        except BackendServerUnreachable as error:
+            return OrderReply(answer=OrderAnswer.UNREACHABLE, detail=error.message)
+        except (BackendServerFailed, TimeoutError) as error:
+            if response is not None:
+                response.close()
+            return OrderReply(answer=OrderAnswer.UNKNOWN, detail=repr(error))
+        return OrderReply(
+            answer=_ORDER_ANSWERS.get(response.status, OrderAnswer.REFUSED),
+            detail=str(response.status),
+        )
+
+    async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
+        """Return an engine's report, None where it gave none."""
+        request = Http1Request(
+            method="GET",
+            target="/api/report",
+            headers=[("Host", instance.address), (EXPECT_INSTANCE_HEADER, instance.instance_id)],
+        )
+        response: Http1Response | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._client.send(instance.address, request)
+                await response.head()
+                wire = msgspec.json.decode(await response.body(), type=_WireReport)
+        except (
+            BackendServerUnreachable,
+            BackendServerFailed,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ):
+            if response is not None:
+                response.close()
+            return None
+        return EngineReport(
+            versions={model.name: model.version for model in wire.models},
+            changing=wire.busy,
+            orders_accepted=wire.seq,
+            running=wire.num_running,
+            waiting=wire.num_waiting,
+        )
+
+
+_ORDER_ANSWERS = {
+    200: OrderAnswer.HOLDS,
+    202: OrderAnswer.ACCEPTED,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.OTHER_INSTANCE,
+}
--- /dev/null
+++ b/src/verbenawind/platform/batches.py
@@ -0,0 +1,93 @@
+"""The platform's form of batch jobs: submissions and pages of results."""
+
+import base64
+import binascii
+
+import msgspec
+
+from verbenawind.batches import BatchItem, BatchSubmission, ResultsPage
+from verbenawind.errors import InvalidRequest
+
+__all__ = ["decode_submission", "encode_page"]
+
+_LENGTH_HINT_HEADER = "x-verbenawind-length-hint"
+
+
+class _WireItem(msgspec.Struct, rename="kebab"):
+    """An item; ``tokens`` are its prompt's and the most that it may make."""
+
+    id: str
+    path: str
+    body: str = ""
+    headers: dict[str, str] = {}
+    tokens: int = 0
+    group: str = ""
+
+
+class _WireJob(msgspec.Struct, rename="kebab"):
+    """A job; ``desired_count`` counts groups, not items."""
+
+    items: list[_WireItem]
+    step: int = 0
+    model: str = ""
+    min_version: int = 0
+    desired_count: int = 0
+
+
+def decode_submission(job_id: str, host: str, path: str, body: bytes) -> BatchSubmission:
+    """Return a job as its caller submitted it.
+
+    Raises:
+        InvalidRequest: The body is none.
+    """
+    try:
+        wire = msgspec.json.decode(body, type=_WireJob)
+        items = tuple(_item(item) for item in wire.items)
+    except (msgspec.MsgspecError, binascii.Error) as error:
+        raise InvalidRequest(f"job {job_id}: {error}") from error
+    if len({item.item_id for item in items}) < len(items):
+        raise InvalidRequest(f"job {job_id}: two items have one id")
+    return BatchSubmission(
+        job_id=job_id,
+        host=host,
+        path=path,
+        items=items,
+        model=wire.model,
+        step=wire.step,
+        min_version=wire.min_version,
+        desired_groups=wire.desired_count,
+    )
+
+
+def encode_page(page: ResultsPage, after: int) -> bytes:
+    """Return a page of results from a position on."""
+    return msgspec.json.encode(
+        {
+            "total": page.total,
+            "next": after + len(page.results),
+            "results": [
+                {
+                    "id": result.item_id,
+                    "state": result.state.value,
+                    "text": result.text,
+                    "versions": list(result.versions),
+                }
+                for result in page.results
+            ],
+        }
+    )
+
+
+def _item(wire: _WireItem) -> BatchItem:
+    hint = next(
+        (value for name, value in wire.headers.items() if name.lower() == _LENGTH_HINT_HEADER), ""
+    )
+    return BatchItem(
+        item_id=wire.id,
+        path=wire.path,
+        headers=tuple(wire.headers.items()),
+        body=base64.b64decode(wire.body, validate=True),
+        tokens=wire.tokens,
+        group=wire.group,
+        length_hint=int(hint) if hint.isdigit() else 0,
+    )
--- /dev/null
+++ b/src/verbenawind/platform/configuration.py
@@ -0,0 +1,223 @@
+"""Decodes what the operator and the engines write into the platform's store."""
+
+import math
+from collections.abc import Mapping
+from typing import Any, Literal
+
+import msgspec
+
+from verbenawind.gateway import (
+    EngineTraits,
+    GatewayConfiguration,
+    IngressLimits,
+    Instance,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from verbenawind.kernel.messages import Location
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "VERSION_KEY_PREFIX",
+    "decode_configuration",
+    "decode_instance",
+    "decode_named_version",
+]
+
+CONFIGURATION_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+_MS = 1000.0
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+    "rollout": RouteKind.BATCH,
+    "batch": RouteKind.BATCH,
+}
+
+
+class _Wire(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    """A record of the platform; fields that are not named here are left alone."""
+
+
+class _Share(_Wire, frozen=True, kw_only=True):
+    service: str
+    weight: float
+
+
+class _Route(_Wire, frozen=True, kw_only=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 0
+    target_latency_ms: float = 0
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    weighted_services: list[_Share] = []
+    resumable: bool = False
+    single_version: bool = False
+    # Both count from the first submission of a batch job.
+    result_deadline_ms: float = 0
+    retention_s: float = 0
+
+
+class _EngineModel(_Wire, frozen=True, kw_only=True):
+    name: str
+
+
+class _Engine(_Wire, frozen=True, kw_only=True):
+    # Requests that run at once, not connections.
+    slots: int
+    models: list[_EngineModel] = []
+
+
+class _Service(_Wire, frozen=True, kw_only=True):
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(_Wire, frozen=True, kw_only=True):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    # How long a request's head may take to arrive.
+    header_timeout_ms: float = 3000
+    # How long a connection may rest between requests.
+    idle_timeout_ms: float = 15000
+
+
+class _Configuration(_Wire, frozen=True, kw_only=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+class _LoadedModel(_Wire, frozen=True, kw_only=True):
+    name: str
+    # Of the model's weights; an entry's own field of this name is of its software.
+    version: int
+
+
+class _Server(_Wire, frozen=True, kw_only=True):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    # Unix time in ms at which this incarnation started.
+    born: int = 0
+    # Counts the orders that the engine has accepted.
+    seq: int = 0
+    models: list[_LoadedModel] = []
+
+
+class _NamedVersion(_Wire, frozen=True, kw_only=True):
+    model: str
+    version: int
+
+
+def decode_configuration(value: bytes) -> GatewayConfiguration:
+    """Return the operator's configuration.
+
+    Raises:
+        msgspec.MsgspecError: The value is none.
+    """
+    wire = msgspec.json.decode(value, type=_Configuration)
+    limits = wire.limits
+    return GatewayConfiguration(
+        version=wire.version,
+        routes=tuple(_route(route) for route in wire.routes if route.kind in _KINDS),
+        services={service.name: _service(service) for service in wire.services},
+        limits=IngressLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / _MS,
+            idle_timeout_s=limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def decode_instance(
+    instance_id: str, value: bytes, region_of_zone: Mapping[str, str]
+) -> Instance | None:
+    """Return a backend server's entry, or None where it is not one that can be used."""
+    try:
+        raw: Any = msgspec.json.decode(value)
+        wire = msgspec.convert(_whole_numbers(raw), _Server)
+    except msgspec.MsgspecError:
+        return None
+    host, _, port = wire.address.rpartition(":")
+    if not host or not port.isdigit() or not wire.service or wire.slots < 1:
+        return None
+    return Instance(
+        instance_id=instance_id,
+        service=wire.service,
+        address=wire.address,
+        location=Location(zone=wire.zone, region=region_of_zone.get(wire.zone, "")),
+        slots=wire.slots,
+        draining=wire.state == "draining",
+        started_ms=wire.born,
+        versions={model.name: model.version for model in wire.models},
+        orders_accepted=wire.seq,
+    )
+
+
+def decode_named_version(value: bytes) -> tuple[str, int]:
+    """Return the model and the version that its trainer names.
+
+    Raises:
+        msgspec.MsgspecError: The value is none.
+    """
+    wire = msgspec.json.decode(value, type=_NamedVersion)
+    return wire.model, wire.version
+
+
+def _route(wire: _Route) -> Route:
+    shares = [
+        ServiceShare(service=share.service, weight=share.weight)
+        for share in wire.weighted_services
+        if share.weight > 0
+    ]
+    if wire.service:
+        shares = [ServiceShare(service=wire.service, weight=1.0)]
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix,
+        kind=_KINDS[wire.kind],
+        timeout_s=wire.timeout_ms / _MS if wire.timeout_ms else math.inf,
+        target_latency_s=wire.target_latency_ms / _MS,
+        max_attempts=max(1, wire.max_attempts),
+        priority=wire.priority,
+        services=tuple(shares),
+        resumable=wire.resumable,
+        single_version=wire.single_version,
+        result_deadline_s=wire.result_deadline_ms / _MS,
+        retention_s=wire.retention_s,
+    )
+
+
+def _service(wire: _Service) -> Service:
+    engine = None
+    if wire.engine is not None:
+        engine = EngineTraits(
+            slots=wire.engine.slots, models=tuple(model.name for model in wire.engine.models)
+        )
+    return Service(name=wire.name, max_connections=wire.max_connections, engine=engine)
+
+
+def _whole_numbers(raw: Any) -> Any:
+    """Read numbers such as 5.0 as whole ones."""
+    if isinstance(raw, dict):
+        return {key: _whole_numbers(value) for key, value in raw.items()}
+    if isinstance(raw, list):
+        return [_whole_numbers(value) for value in raw]
+    if isinstance(raw, float) and raw.is_integer():
+        return int(raw)
+    return raw
--- /dev/null
+++ b/src/verbenawind/platform/front.py
@@ -0,0 +1,481 @@
+"""The callers' interface as the platform speaks it."""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping, MutableMapping
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+import structlog
+
+from verbenawind.batches import BatchJobs
+from verbenawind.clock import Clock
+from verbenawind.errors import (
+    CallerDisconnected,
+    DeadlineExceeded,
+    HeadersTooLarge,
+    InvalidRequest,
+    Outcome,
+    StoreUnavailable,
+    TooLarge,
+    UnknownResource,
+    VerbenawindError,
+)
+from verbenawind.gateway import (
+    Answer,
+    CallerRequest,
+    Forwarder,
+    IngressLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    StreamForwarder,
+    service_of,
+)
+from verbenawind.metrics import Metrics
+from verbenawind.platform.batches import decode_submission, encode_page
+from verbenawind.platform.names import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    LAST_EVENT_HEADER,
+    WAIT_HEADER,
+)
+
+__all__ = ["Front"]
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+T = TypeVar("T")
+
+_JOBS_PATH = "/api/lots/"
+_ITEMS_PATH = "/api/items/"
+_JSON = [("Content-Type", "application/json")]
+# Headers that concern one connection only.
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+    }
+)
+# A submission that the store does not take is given back for a try elsewhere after this part of
+# its caller's patience, unless it may have been recorded.
+_SUBMIT_FRACTION = 0.4
+_DEFAULT_SUBMIT_S = 5.0
+_MAX_READ_WAIT_S = 1.0
+_RETRY_S = 0.3
+_UNINFORMED_RETRY_S = 0.5
+# Answers leave so long before the caller's own deadline.
+_ANSWER_MARGIN_S = 0.01
+_DEFAULT_LIMITS = IngressLimits(
+    max_header_bytes=16 * 1024,
+    max_body_bytes=32 * 1024 * 1024,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+class _Exchange:
+    """One caller's request and the answer to it.
+
+    Args:
+        scope: The request's head.
+        receive: Gives its body, and tells when the caller leaves.
+        send: Takes the answer.
+    """
+
+    __slots__ = (
+        "_receive",
+        "_send",
+        "arrived_s",
+        "closing",
+        "headers",
+        "host",
+        "method",
+        "path",
+        "query",
+        "started",
+        "target",
+    )
+
+    def __init__(self, scope: Scope, receive: Receive, send: Send, arrived_s: float) -> None:
+        self._receive = receive
+        self._send = send
+        self.arrived_s = arrived_s
+        self.started = False
+        self.closing = False
+        self.method: str = scope["method"]
+        self.headers = [
+            (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
+        ]
+        self.host = (self.header("Host") or "").lower()
+        raw_path: bytes = scope["raw_path"]
+        self.path = raw_path.decode("latin-1")
+        query: bytes = scope["query_string"]
+        self.query = query.decode("latin-1")
+        self.target = f"{self.path}?{self.query}" if query else self.path
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a name."""
+        wanted = name.lower()
+        return next((value for key, value in self.headers if key == wanted), None)
+
+    def number(self, name: str) -> float | None:
+        """Return the number in a header, None where there is none."""
+        try:
+            value = float(self.header(name) or "")
+        except ValueError:
+            return None
+        return value if math.isfinite(value) else None
+
+    async def body(self, max_bytes: int) -> bytes:
+        """Return the request's body.
+
+        Raises:
+            TooLarge: It is longer than *max_bytes*.
+            CallerDisconnected: The caller left before it was whole.
+        """
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CallerDisconnected("the caller left before its request was whole")
+            parts.append(message.get("body", b""))
+            size_bytes += len(parts[-1])
+            if size_bytes > max_bytes:
+                raise TooLarge(f"a body may have {max_bytes} bytes")
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+    async def gone(self) -> None:
+        """Return once the caller has left."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the answer's head."""
+        self.started = True
+        raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        if self.closing:
+            raw.append((b"connection", b"close"))
+        await self._send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def write(self, data: bytes, *, last: bool = False) -> None:
+        """Send a stretch of the answer's body."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": not last})
+
+    async def answer(
+        self, status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = ()
+    ) -> None:
+        """Send a whole answer."""
+        length = () if self.method == "HEAD" else (("Content-Length", str(len(body))),)
+        await self.start(status, [*headers, *length])
+        await self.write(body, last=True)
+
+
+class Front:
+    """An ASGI application: routes, batch jobs, and nothing else.
+
+    Args:
+        routes: The routes in force, None while there are none.
+        forwarder: Serves plain requests.
+        streams: Serves event streams.
+        jobs: Serves batch jobs.
+        metrics: Counts and times requests.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        *,
+        routes: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        streams: StreamForwarder,
+        jobs: BatchJobs,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._routes = routes
+        self._forwarder = forwarder
+        self._streams = streams
+        self._jobs = jobs
+        self._metrics = metrics
+        self._clock = clock
+        self._log = structlog.get_logger("front")
+        self.draining = False
+
+    @property
+    def limits(self) -> IngressLimits:
+        """The limits in force."""
+        table = self._routes()
+        return table.configuration.limits if table is not None else _DEFAULT_LIMITS
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        exchange = _Exchange(scope, receive, send, self._clock.monotonic_s())
+        exchange.closing = self.draining
+        outcome = "ok"
+        try:
+            await self._serve(exchange)
+        except CallerDisconnected as error:
+            outcome = error.code
+            self._log.info("caller_left", path=exchange.path, reason=error.message)
+        except VerbenawindError as error:
+            outcome = error.code
+            await self._fail(exchange, error)
+        finally:
+            took_s = self._clock.monotonic_s() - exchange.arrived_s
+            self._metrics.count_request(_operation(exchange), outcome, took_s)
+
+    async def _serve(self, exchange: _Exchange) -> None:
+        self._check_head(exchange)
+        table = self._routes()
+        if table is None:
+            raise StoreUnavailable(
+                "this daemon has no configuration yet",
+                effect_possible=False,
+                retry_after_s=_UNINFORMED_RETRY_S,
+            )
+        if exchange.path.startswith((_JOBS_PATH, _ITEMS_PATH)) and table.knows_host(exchange.host):
+            await self._serve_job_call(exchange)
+            return
+        route = table.match(exchange.host, exchange.path)
+        if route is None:
+            self._log.info(
+                "route_unknown",
+                request_id=exchange.header(ATTEMPT_HEADER),
+                host=exchange.host,
+                path=exchange.path,
+                configuration=table.configuration.version,
+            )
+            await exchange.answer(404)
+            return
+        if route.kind is RouteKind.BATCH:
+            await self._submit(exchange, route)
+            return
+        request = await self._request(exchange, route)
+        service = service_of(route, request.request_id)
+        if route.kind is RouteKind.STREAMING:
+            await self._stream(exchange, request, route, service)
+        else:
+            await self._forward(exchange, request, route, service)
+
+    def _check_head(self, exchange: _Exchange) -> None:
+        limit_bytes = self.limits.max_header_bytes
+        size_bytes = sum(len(name) + len(value) + 4 for name, value in exchange.headers)
+        if size_bytes > limit_bytes:
+            raise HeadersTooLarge(f"headers may have {limit_bytes} bytes")
+
+    async def _request(self, exchange: _Exchange, route: Route) -> CallerRequest:
+        request_id = exchange.header(ATTEMPT_HEADER)
+        if not request_id:
+            raise InvalidRequest(f"a request needs the header {ATTEMPT_HEADER}")
+        patience_ms = exchange.number(DEADLINE_HEADER)
+        patience_s = math.inf if patience_ms is None else patience_ms / 1000
+        limit_s = min(patience_s - _ANSWER_MARGIN_S, route.timeout_s)
+        last_event = exchange.header(LAST_EVENT_HEADER)
+        return CallerRequest(
+            request_id=request_id,
+            method=exchange.method,
+            host=exchange.header("Host") or "",
+            target=exchange.target,
+            headers=_end_to_end(exchange.headers),
+            body=await exchange.body(self.limits.max_body_bytes),
+            arrived_s=exchange.arrived_s,
+            deadline_s=exchange.arrived_s + min(limit_s, _LONGEST_S),
+            resume_after=int(last_event) if last_event and last_event.isdigit() else None,
+        )
+
+    async def _forward(
+        self, exchange: _Exchange, request: CallerRequest, route: Route, service: str
+    ) -> None:
+        reply = await self._while_caller_stays(
+            exchange, self._forwarder.forward(request, route, service), request.request_id
+        )
+        headers = _end_to_end(reply.headers)
+        self._log.info(
+            "request_answered",
+            request_id=request.request_id,
+            route=route.name,
+            status=reply.status,
+            took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 4),
+        )
+        if reply.rest is None:
+            await exchange.answer(reply.status, reply.body, headers)
+            return
+        try:
+            await exchange.start(reply.status, headers)
+            await exchange.write(reply.body)
+            while data := await reply.rest.chunk():
+                await exchange.write(data)
+            await exchange.write(b"", last=True)
+        finally:
+            reply.rest.close()
+
+    async def _stream(
+        self, exchange: _Exchange, request: CallerRequest, route: Route, service: str
+    ) -> None:
+        async def copy() -> int:
+            events = 0
+            async with contextlib.aclosing(
+                self._streams.forward(request, route, service)
+            ) as pieces:
+                async for piece in pieces:
+                    if isinstance(piece, bytes):
+                        events += 1
+                        await exchange.write(piece)
+                    else:
+                        await _start_like(exchange, piece)
+            await exchange.write(b"", last=True)
+            return events
+
+        events = await self._while_caller_stays(exchange, copy(), request.request_id)
+        self._log.info(
+            "stream_answered",
+            request_id=request.request_id,
+            route=route.name,
+            pieces=events,
+            took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 4),
+        )
+
+    # Batch jobs.
+
+    async def _submit(self, exchange: _Exchange, route: Route) -> None:
+        job_id = exchange.header(ATTEMPT_HEADER)
+        if not job_id or exchange.method != "POST":
+            raise InvalidRequest(f"a job is submitted by a POST with the header {ATTEMPT_HEADER}")
+        body = await exchange.body(self.limits.max_body_bytes)
+        submission = decode_submission(job_id, exchange.host, exchange.path, body)
+        patience_ms = exchange.number(DEADLINE_HEADER)
+        patience_s = _DEFAULT_SUBMIT_S if patience_ms is None else patience_ms / 1000
+        limit_s = min(patience_s * _SUBMIT_FRACTION, route.timeout_s)
+        await self._jobs.submit(submission, exchange.arrived_s + limit_s)
+        await exchange.answer(202)
+
+    async def _serve_job_call(self, exchange: _Exchange) -> None:
+        query = parse_qs(exchange.query)
+        if exchange.path.startswith(_ITEMS_PATH):
+            job_id = exchange.path.removeprefix(_ITEMS_PATH)
+            body = await self._jobs.body(job_id, query.get("id", [""])[0])
+            await exchange.answer(200, body, [("Content-Type", "application/octet-stream")])
+            return
+        job_id = exchange.path.removeprefix(_JOBS_PATH)
+        if exchange.method == "DELETE":
+            await self._jobs.end(job_id)
+            await exchange.answer(200)
+            return
+        after_text = query.get("after", ["0"])[0]
+        if not after_text.isdigit():
+            raise InvalidRequest(f"a position is a whole number, not {after_text!r}")
+        after = int(after_text)
+        wait_s = min((exchange.number(WAIT_HEADER) or 0.0) / 1000, _MAX_READ_WAIT_S)
+        page = await self._jobs.results(job_id, after, wait_s)
+        self._log.info(
+            "results_read",
+            job_id=job_id,
+            after=after,
+            results=len(page.results),
+            total=page.total,
+            took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 3),
+        )
+        await exchange.answer(200, encode_page(page, after), _JSON)
+
+    # Endings.
+
+    async def _while_caller_stays(
+        self, exchange: _Exchange, work: Coroutine[Any, Any, T], request_id: str
+    ) -> T:
+        """Return the result of *work*, which is cancelled when the caller leaves."""
+        working = asyncio.get_running_loop().create_task(work)
+        watching = asyncio.get_running_loop().create_task(exchange.gone())
+        try:
+            await asyncio.wait({working, watching}, return_when=asyncio.FIRST_COMPLETED)
+            if working.done():
+                return working.result()
+            raise CallerDisconnected(f"the caller of {request_id} left")
+        finally:
+            watching.cancel()
+            if not working.done():
+                working.cancel()
+                with contextlib.suppress(asyncio.CancelledError, VerbenawindError):
+                    await working
+
+    async def _fail(self, exchange: _Exchange, error: VerbenawindError) -> None:
+        status = _status(error)
+        self._log.info(
+            "request_failed",
+            request_id=exchange.header(ATTEMPT_HEADER),
+            path=exchange.path,
+            status=status,
+            code=error.code,
+            outcome=error.outcome.value,
+            error=error.message,
+            retry_after_s=error.retry_after_s,
+            took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 4),
+        )
+        if exchange.started:
+            # The connection is closed without the answer's end, so that it can't look whole.
+            raise error
+        headers: list[tuple[str, str]] = []
+        if status == 503:
+            headers.append(("Retry-After", f"{error.retry_after_s or _RETRY_S:g}"))
+        if isinstance(error, InvalidRequest):
+            exchange.closing = True
+        await exchange.answer(status, error.message.encode(), headers)
+
+
+# A route without a timeout, asked by a caller without a deadline, ends after this.
+_LONGEST_S = 3600.0
+
+
+async def _start_like(exchange: _Exchange, answer: Answer) -> None:
+    await exchange.start(answer.status, _end_to_end(answer.headers))
+
+
+def _status(error: VerbenawindError) -> int:
+    """Return the status of an error; 503 is a promise that nothing ran or will run."""
+    known: Mapping[type[VerbenawindError], int] = {
+        UnknownResource: 404,
+        TooLarge: 413,
+        HeadersTooLarge: 431,
+        InvalidRequest: 400,
+    }
+    if type(error) in known:
+        return known[type(error)]
+    if error.outcome is Outcome.NOT_RUN:
+        return 503
+    return 504 if isinstance(error, DeadlineExceeded) else 502
+
+
+def _end_to_end(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that do not concern one connection only."""
+    listed = list(headers)
+    named = {
+        part.strip().lower()
+        for name, value in listed
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in listed
+        if name.lower() not in _HOP_HEADERS and name.lower() not in named
+    )
+
+
+def _operation(exchange: _Exchange) -> str:
+    if exchange.path.startswith(_JOBS_PATH):
+        return "end_job" if exchange.method == "DELETE" else "read_results"
+    return "read_body" if exchange.path.startswith(_ITEMS_PATH) else "request"
--- /dev/null
+++ b/src/verbenawind/platform/names.py
@@ -0,0 +1,33 @@
+"""The platform's spelling of headers, calls and tables."""
+
+__all__ = [
+    "ATTEMPT_HEADER",
+    "DEADLINE_HEADER",
+    "EXPECT_INSTANCE_HEADER",
+    "EXPECT_VERSION_HEADER",
+    "INSTANCE_HEADER",
+    "LAST_EVENT_HEADER",
+    "NOT_RUN_HEADER",
+    "OPERATOR_TABLE",
+    "SERVERS_TABLE",
+    "SIGNATURE_HEADER",
+    "VERSION_HEADER",
+    "WAIT_HEADER",
+]
+
+# Despite its name it identifies a caller's attempt, not one of ours at an engine.
+ATTEMPT_HEADER = "X-Verbenawind-Attempt-Id"
+# A duration, not a moment: what is left of the caller's patience.
+DEADLINE_HEADER = "X-Verbenawind-Deadline-Ms"
+EXPECT_INSTANCE_HEADER = "X-Verbenawind-Expect-Instance"
+EXPECT_VERSION_HEADER = "X-Verbenawind-Expect-Version"
+INSTANCE_HEADER = "X-Verbenawind-Instance-Id"
+LAST_EVENT_HEADER = "Last-Event-Id"
+NOT_RUN_HEADER = "X-Verbenawind-Not-Executed"
+SIGNATURE_HEADER = "X-Verbenawind-Server-Stamp"
+# One version, in spite of the plural.
+VERSION_HEADER = "X-Verbenawind-Weight-Versions"
+WAIT_HEADER = "X-Verbenawind-Wait-Ms"
+
+OPERATOR_TABLE = "op"
+SERVERS_TABLE = "servers"
--- /dev/null
+++ b/src/verbenawind/platform/settings.py
@@ -0,0 +1,132 @@
+"""The settings file that the platform lays before each process."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from verbenawind.document.loading import convert_all
+from verbenawind.errors import SettingsInvalid
+from verbenawind.kernel.messages import Location, Value
+
+__all__ = ["HostSettings", "load_host_settings", "parse_host_settings"]
+
+_PATH_VARIABLE = "VERBENAWIND_SETTINGS"
+_MS = 1000.0
+
+
+class _Section(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
+    """A table of the file; keys that are not named here are left alone."""
+
+
+class _Listen(_Section, frozen=True, kw_only=True):
+    # Where callers connect.
+    front: str
+    # Where the balancer asks whether this host takes callers.
+    ready: str
+
+
+class _Platform(_Section, frozen=True, kw_only=True):
+    address: str
+    row_bytes: int = 65536
+    blob_bytes: int = 8 * 1024 * 1024
+
+
+class _Bounds(_Section, frozen=True, kw_only=True):
+    # How long after an order another holder may not order the same engine.
+    lease_ms: float = 3000
+    # How long a process has between SIGTERM and SIGKILL.
+    grace_s: float = 8
+    # How long an engine that leaves goes on serving after it said so.
+    drain_ms: float = 2500
+    # Whether engines check who orders them.
+    fencing_required: bool = False
+
+
+class _File(_Section, frozen=True, kw_only=True):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _Platform
+    # Zones by name, with their regions.
+    zones: dict[str, str] = {}
+    bounds: _Bounds = _Bounds()
+
+
+class HostSettings(Value, frozen=True, kw_only=True):
+    """What one daemon knows before it asks the platform.
+
+    Addresses are ``IP:port``; ``region_of_zone`` places backend servers.
+    """
+
+    host_name: str
+    location: Location
+    callers_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    max_row_bytes: int
+    max_object_bytes: int
+    region_of_zone: dict[str, str]
+    order_gap_s: float
+    stop_grace_s: float
+
+
+def load_host_settings(path: str | None = None) -> HostSettings:
+    """Return the checked settings of this process.
+
+    Args:
+        path: The file; the environment names it where this is None.
+
+    Raises:
+        SettingsInvalid: The file cannot be read or has faults; all of them are listed.
+    """
+    name = path or os.environ.get(_PATH_VARIABLE, "")
+    if not name:
+        raise SettingsInvalid(f"no settings file: {_PATH_VARIABLE} is not set")
+    try:
+        text = Path(name).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsInvalid(f"settings file {name!r}: {error.strerror}") from error
+    return parse_host_settings(text)
+
+
+def parse_host_settings(text: str) -> HostSettings:
+    """Return the checked settings in *text*.
+
+    Raises:
+        SettingsInvalid: The text is no TOML or has faults; all of them are listed.
+    """
+    try:
+        raw: dict[str, Any] = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsInvalid(f"settings: {error}") from error
+    if faults := list(convert_all(raw, _File, "$", unknown_allowed=True)):
+        raise SettingsInvalid("; ".join(faults))
+    file = msgspec.convert(raw, _File)
+    first, last = file.internal_ports
+    if last <= first:
+        raise SettingsInvalid(
+            f"$.internal-ports: two ports are needed, one for peers and one for metrics, "
+            f"and {first} to {last} has one"
+        )
+    return HostSettings(
+        host_name=file.node_name,
+        location=Location(zone=file.zone, region=file.region),
+        callers_address=file.listen.front,
+        ready_address=file.listen.ready,
+        peer_address=f"{file.ip}:{first}",
+        metrics_address=f"{file.ip}:{first + 1}",
+        store_address=file.platform.address,
+        max_row_bytes=file.platform.row_bytes,
+        max_object_bytes=file.platform.blob_bytes,
+        region_of_zone=dict(file.zones) | {file.zone: file.region},
+        order_gap_s=file.bounds.lease_ms / _MS,
+        stop_grace_s=file.bounds.grace_s,
+    )
--- /dev/null
+++ b/src/verbenawind/state/beats.py
@@ -0,0 +1,203 @@
+"""Heartbeats of daemons as rows of the store: who is there, and who has gone silent.
+
+A daemon that owns work beats often, any other rarely, so that the number of writes follows the
+work and not the size of the fleet.
+"""
+
+from collections.abc import Callable, Collection, Sequence
+from random import Random
+
+import msgspec
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.kernel.messages import Location, Value
+from verbenawind.kernel.row_ports import (
+    RowCheck,
+    RowId,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+
+__all__ = ["HOSTS_TABLE", "Beat", "HostBeats"]
+
+HOSTS_TABLE = "hosts"
+_BUSY_PERIOD_S = 0.5
+_IDLE_PERIOD_S = 4.0
+_WRITE_TIMEOUT_S = 1.5
+# Beats of a busy daemon that fail to come before it is taken for gone.
+_SILENCE_S = 1.8
+# A view of the table older than this says nothing about anybody's silence.
+_STALE_VIEW_S = 1.6
+_POLL_S = 0.1
+
+
+class Beat(Value, frozen=True, kw_only=True):
+    """A daemon's row; ``incarnation`` tells its process from earlier ones under its name."""
+
+    host: str
+    incarnation: str
+    address: str
+    location: Location
+    number: int
+    leaving: bool = False
+
+    @property
+    def owner_id(self) -> str:
+        """What the daemon signs its work with."""
+        return f"{self.host}#{self.incarnation}"
+
+
+class _Seen:
+    __slots__ = ("at_s", "beat", "version")
+
+    def __init__(self, beat: Beat, version: int, at_s: float) -> None:
+        self.beat = beat
+        self.version = version
+        self.at_s = at_s
+
+
+class HostBeats:
+    """Beats for this daemon and watches the beats of the others.
+
+    Args:
+        store: The row store.
+        own: This daemon's first beat.
+        clock: Time source.
+        rng: Jitter.
+        busy: Whether this daemon owns work.
+        view_age_s: For how long the table has not been heard of.
+    """
+
+    __slots__ = (
+        "_busy",
+        "_clock",
+        "_log",
+        "_own",
+        "_rng",
+        "_seen",
+        "_silent_view_until_s",
+        "_store",
+        "_version",
+        "view_age_s",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        own: Beat,
+        *,
+        clock: Clock,
+        rng: Random,
+        busy: Callable[[], bool],
+        view_age_s: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._clock = clock
+        self._rng = rng
+        self._busy = busy
+        self.view_age_s = view_age_s
+        self._seen: dict[str, _Seen] = {}
+        self._version = 0
+        self._silent_view_until_s = 0.0
+        self._log = structlog.get_logger("hosts")
+
+    @property
+    def own(self) -> Beat:
+        """This daemon's newest beat."""
+        return self._own
+
+    def take(self, row: StoredRow) -> None:
+        """Take in a row of the table."""
+        host = row.row_id.key
+        if row.value is None:
+            self._seen.pop(host, None)
+            return
+        try:
+            beat = msgspec.json.decode(row.value, type=Beat)
+        except msgspec.MsgspecError as error:
+            self._log.warning("beat_unreadable", host=host, error=str(error))
+            return
+        known = self._seen.get(host)
+        if known is None or known.beat.incarnation != beat.incarnation:
+            self._log.info("host_seen", host=host, incarnation=beat.incarnation)
+        if host == self._own.host:
+            self._version = max(self._version, row.version)
+        self._seen[host] = _Seen(beat, row.version, self._clock.monotonic_s())
+
+    def view_returned(self, silent_s: float) -> None:
+        """Give everybody time to beat again after the table was out of reach."""
+        if silent_s > _STALE_VIEW_S / 2:
+            self._silent_view_until_s = self._clock.monotonic_s() + _SILENCE_S
+
+    def others(self) -> Sequence[Beat]:
+        """Return the other daemons that have beaten and have not said that they leave."""
+        return [
+            seen.beat
+            for host, seen in self._seen.items()
+            if host != self._own.host and not seen.beat.leaving
+        ]
+
+    def is_gone(self, owner_id: str, since_s: float) -> bool:
+        """Return whether the daemon that signs as *owner_id* is taken for gone.
+
+        Args:
+            owner_id: A daemon's incarnation.
+            since_s: Since when it has owned work and so should have beaten often.
+        """
+        host, _, incarnation = owner_id.partition("#")
+        seen = self._seen.get(host)
+        if seen is not None and seen.beat.incarnation != incarnation:
+            return True
+        if seen is not None and seen.beat.leaving:
+            return True
+        if host == self._own.host:
+            return incarnation != self._own.incarnation
+        now_s = self._clock.monotonic_s()
+        if self.view_age_s() > _STALE_VIEW_S or now_s < self._silent_view_until_s:
+            return False
+        last_s = max(since_s, seen.at_s if seen is not None else since_s)
+        return now_s - last_s > _SILENCE_S
+
+    def claimants(self, gone: Collection[str]) -> Sequence[str]:
+        """Return the hosts that may take over, this one included, without the *gone* ones."""
+        names = {beat.host for beat in self.others()} | {self._own.host}
+        return sorted(names - set(gone))
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            await self.beat()
+            period_s = _BUSY_PERIOD_S if self._busy() else _IDLE_PERIOD_S
+            ends_at_s = self._clock.monotonic_s() + period_s * self._rng.uniform(0.8, 1.0)
+            while (left_s := ends_at_s - self._clock.monotonic_s()) > 0:
+                await self._clock.sleep(min(_POLL_S, left_s))
+                if period_s == _IDLE_PERIOD_S and self._busy():
+                    break
+
+    async def beat(self, *, leaving: bool = False) -> None:
+        """Write one beat; a failure is logged and the next beat tries again."""
+        self._own = msgspec.structs.replace(
+            self._own, number=self._own.number + 1, leaving=self._own.leaving or leaving
+        )
+        row_id = RowId(table=HOSTS_TABLE, key=self._own.host)
+        value = msgspec.json.encode(self._own)
+        for _ in range(2):
+            try:
+                self._version = await self._store.commit(
+                    RowTransaction(
+                        checks=(RowCheck(row_id=row_id, version=self._version),),
+                        writes=(RowWrite(row_id=row_id, value=value),),
+                    ),
+                    _WRITE_TIMEOUT_S,
+                )
+                return
+            except RowConflict as conflict:
+                self._version = conflict.versions.get(row_id.key, 0)
+            except StoreUnavailable as error:
+                self._log.info("beat_not_written", reason=error.message)
+                return
--- /dev/null
+++ b/src/verbenawind/state/following.py
@@ -0,0 +1,156 @@
+"""Keeps a copy of a table's rows by its change feed."""
+
+from collections.abc import Callable
+from random import Random
+
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import HistoryLost, StoreUnavailable
+from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow
+
+__all__ = ["TableFollower"]
+
+_READ_TIMEOUT_S = 3.0
+# The feed holds a call for so long; a silent connection is noticed soon after.
+_FEED_WAIT_S = 1.0
+# The pause between calls that brought rows bounds the number of calls.
+_FEED_PAUSE_S = 0.2
+_FIRST_PAUSE_S = 0.1
+_MAX_PAUSE_S = 0.5
+# A silence of the feed beyond its wait that is worth a log line.
+_SILENCE_S = 2.0
+
+
+class TableFollower:
+    """Calls a listener with each row of a table that changes, in order.
+
+    Args:
+        store: The store.
+        table: The table to follow.
+        listener: Takes a changed row; the value is None once the row is removed.
+        clock: Time source.
+        rng: Jitter of retries.
+        partitioned: Whether the rows lie in many partitions instead of the unnamed one.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_heard_at_s",
+        "_known",
+        "_listener",
+        "_log",
+        "_on_return",
+        "_partitioned",
+        "_rng",
+        "_store",
+        "_table",
+        "_version",
+        "informed",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        listener: Callable[[StoredRow], None],
+        *,
+        clock: Clock,
+        rng: Random,
+        partitioned: bool = False,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._listener = listener
+        self._clock = clock
+        self._rng = rng
+        self._partitioned = partitioned
+        self._known: dict[RowId, int] = {}
+        self._version: int | None = None
+        self._heard_at_s = clock.monotonic_s()
+        self._on_return: list[Callable[[float], None]] = []
+        self._log = structlog.get_logger("feed")
+        self.informed = False
+
+    def age_s(self) -> float:
+        """Return for how long the table has not been heard of, in seconds."""
+        return self._clock.monotonic_s() - self._heard_at_s
+
+    def on_return(self, listener: Callable[[float], None]) -> None:
+        """Call *listener* with the length of a silence when the feed is heard again."""
+        self._on_return.append(listener)
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                if self._version is None:
+                    await self._read_whole()
+                else:
+                    await self._read_changes(self._version)
+                pause_s = _FIRST_PAUSE_S
+                self.informed = True
+            except HistoryLost:
+                self._log.warning("feed_history_lost", table=self._table, version=self._version)
+                self._version = None
+            except StoreUnavailable as error:
+                self._log.info(
+                    "feed_unavailable",
+                    table=self._table,
+                    error=error.message,
+                    age_s=round(self.age_s(), 2),
+                )
+                await self._clock.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                pause_s = min(_MAX_PAUSE_S, 2 * pause_s)
+
+    async def _read_whole(self) -> None:
+        """Read every row, and report as removed those that are gone since."""
+        parts = [""]
+        version: int | None = None
+        if self._partitioned:
+            # Changes after this read are repeated by the feed; taking a row in twice is harmless.
+            marker = await self._store.rows(self._table, "", _READ_TIMEOUT_S, limit=1)
+            version = marker.version
+            parts = list(await self._store.parts(self._table, _READ_TIMEOUT_S))
+        found: dict[RowId, StoredRow] = {}
+        for part in parts:
+            first, more = "", True
+            while more:
+                page = await self._store.rows(self._table, part, _READ_TIMEOUT_S, first=first)
+                version = page.version if version is None else version
+                found.update({row.row_id: row for row in page.rows})
+                more = page.has_more and bool(page.rows)
+                first = page.rows[-1].row_id.key + "\0" if page.rows else ""
+        self._heard()
+        for row_id in [row_id for row_id in self._known if row_id not in found]:
+            self._take(StoredRow(row_id=row_id, value=None, version=version or 0))
+        for row in found.values():
+            self._take(row)
+        self._version = version
+
+    async def _read_changes(self, after: int) -> None:
+        changes = await self._store.changes(self._table, after, _FEED_WAIT_S)
+        self._heard()
+        for row in changes.rows:
+            self._take(row)
+        self._version = max(after, changes.version)
+        if changes.rows:
+            await self._clock.sleep(_FEED_PAUSE_S * self._rng.uniform(0.7, 1.0))
+
+    def _take(self, row: StoredRow) -> None:
+        if row.version < self._known.get(row.row_id, 0):
+            return
+        if row.value is None:
+            self._known.pop(row.row_id, None)
+        else:
+            self._known[row.row_id] = row.version
+        self._listener(row)
+
+    def _heard(self) -> None:
+        silent_s = self.age_s()
+        self._heard_at_s = self._clock.monotonic_s()
+        if silent_s > _FEED_WAIT_S + _SILENCE_S:
+            self._log.info("feed_regained", table=self._table, silent_s=round(silent_s, 2))
+        for listener in self._on_return:
+            listener(silent_s - _FEED_WAIT_S)
--- /dev/null
+++ b/src/verbenawind/state/relay.py
@@ -0,0 +1,235 @@
+"""Makes store calls through a peer, for a host that the store turns away."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+
+import cbor2
+import msgspec
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import PeerUnreachable, StoreUnavailable
+from verbenawind.kernel.peer_ports import PeerChannel, PeerTransport
+
+__all__ = ["RelayClient", "RelayServer", "StoreCall", "StoreReply"]
+
+_CONNECT_TIMEOUT_S = 0.5
+# A peer that failed a call is asked last for so long.
+_AVOID_S = 1.5
+_REPLY_SLACK_S = 0.1
+_MAX_CALLS_AT_ONCE = 64
+
+
+class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One call of the store; a relayed one carries its conditions, so that a repeat is harmless."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    timeout_s: float = 1.0
+
+
+class StoreReply(msgspec.Struct, frozen=True, kw_only=True):
+    """The store's answer."""
+
+    status: int
+    body: bytes
+
+
+class _Request(msgspec.Struct, array_like=True):
+    number: int
+    call: StoreCall
+
+
+class _Response(msgspec.Struct, array_like=True):
+    """Without a reply: the peer got none, and whether the call may have taken effect."""
+
+    number: int
+    reply: StoreReply | None = None
+    effect_possible: bool = True
+
+
+class RelayServer:
+    """Makes calls for peers over this host's own connection, never through another peer.
+
+    Args:
+        direct: Makes a call of the store.
+    """
+
+    __slots__ = ("_direct", "_log", "relayed")
+
+    def __init__(self, direct: Callable[[StoreCall], Awaitable[StoreReply]]) -> None:
+        self._direct = direct
+        self._log = structlog.get_logger("relay")
+        self.relayed = 0
+
+    async def serve(self, channel: PeerChannel) -> None:
+        """Serve a peer until it closes the channel."""
+        room = asyncio.Semaphore(_MAX_CALLS_AT_ONCE)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                while True:
+                    data = await channel.receive()
+                    request = msgspec.convert(cbor2.loads(data), _Request, strict=False)
+                    await room.acquire()
+                    tasks.create_task(self._answer(channel, request, room))
+        except* PeerUnreachable as group:
+            self._log.debug("relay_channel_closed", reason=str(group.exceptions[0]))
+        except* (cbor2.CBORDecodeError, msgspec.ValidationError) as group:
+            self._log.warning("relay_request_malformed", reason=str(group.exceptions[0]))
+
+    async def _answer(
+        self, channel: PeerChannel, request: _Request, room: asyncio.Semaphore
+    ) -> None:
+        try:
+            self.relayed += 1
+            response = _Response(request.number, await self._direct(request.call))
+        except StoreUnavailable as error:
+            response = _Response(request.number, None, error.effect_possible)
+        finally:
+            room.release()
+        await channel.send(_encode(response))
+
+
+class _PeerLink:
+    """A channel to one peer, with the calls that wait for their replies."""
+
+    def __init__(self, channel: PeerChannel) -> None:
+        self.channel = channel
+        self.waiting: dict[int, asyncio.Future[_Response]] = {}
+        self.open = True
+        self.reader = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                data = await self.channel.receive()
+                response = msgspec.convert(cbor2.loads(data), _Response, strict=False)
+                future = self.waiting.get(response.number)
+                if future is not None and not future.done():
+                    future.set_result(response)
+        except (PeerUnreachable, cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+            self._close(PeerUnreachable(f"relay link: {error}"))
+
+    def _close(self, error: PeerUnreachable) -> None:
+        self.open = False
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(error)
+
+    async def aclose(self) -> None:
+        """Close the channel."""
+        self.open = False
+        self.reader.cancel()
+        await self.channel.aclose()
+
+
+class RelayClient:
+    """Has peers make store calls.
+
+    Args:
+        transport: Makes channels.
+        peers: Addresses of the peers that are believed to be there.
+        clock: Time source.
+        rng: Chooses among peers.
+    """
+
+    __slots__ = (
+        "_avoid_until_s",
+        "_clock",
+        "_links",
+        "_log",
+        "_numbers",
+        "_peers",
+        "_preferred",
+        "_rng",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        transport: PeerTransport,
+        peers: Callable[[], Sequence[str]],
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._transport = transport
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._links: dict[str, _PeerLink] = {}
+        self._numbers = itertools.count(1)
+        self._avoid_until_s: dict[str, float] = {}
+        self._preferred = ""
+        self._log = structlog.get_logger("relay")
+
+    async def relay(self, call: StoreCall) -> StoreReply:
+        """Have a peer make the call.
+
+        Raises:
+            StoreUnavailable: No peer got an answer from the store.
+        """
+        address = self._choose()
+        if address is None:
+            raise StoreUnavailable("there is no peer to relay the call", effect_possible=False)
+        sent = False
+        try:
+            link = await self._link(address)
+            number = next(self._numbers)
+            future: asyncio.Future[_Response] = asyncio.get_running_loop().create_future()
+            link.waiting[number] = future
+            try:
+                async with asyncio.timeout(call.timeout_s + _REPLY_SLACK_S):
+                    sent = True
+                    await link.channel.send(_encode(_Request(number, call)))
+                    response = await future
+            finally:
+                del link.waiting[number]
+        except (PeerUnreachable, TimeoutError) as error:
+            self._failed(address)
+            raise StoreUnavailable(
+                f"peer {address} relayed no answer: {error!r}", effect_possible=sent
+            ) from error
+        if response.reply is None:
+            self._failed(address)
+            raise StoreUnavailable(
+                f"peer {address} got no answer either", effect_possible=response.effect_possible
+            )
+        if self._preferred != address:
+            self._log.info("relay_chosen", peer=address)
+            self._preferred = address
+        return response.reply
+
+    async def aclose(self) -> None:
+        """Close every channel."""
+        for link in self._links.values():
+            await link.aclose()
+
+    def _choose(self) -> str | None:
+        now_s = self._clock.monotonic_s()
+        peers = list(self._peers())
+        good = [peer for peer in peers if self._avoid_until_s.get(peer, 0.0) <= now_s]
+        if self._preferred in good:
+            return self._preferred
+        return self._rng.choice(good or peers) if peers else None
+
+    def _failed(self, address: str) -> None:
+        self._avoid_until_s[address] = self._clock.monotonic_s() + _AVOID_S
+        if self._preferred == address:
+            self._preferred = ""
+
+    async def _link(self, address: str) -> _PeerLink:
+        link = self._links.get(address)
+        if link is not None and link.open:
+            return link
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            channel = await self._transport.connect(address)
+        link = self._links[address] = _PeerLink(channel)
+        return link
+
+
+def _encode(message: _Request | _Response) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
--- /dev/null
+++ b/src/verbenawind/state/row_lease.py
@@ -0,0 +1,273 @@
+"""A lease as one row that everybody follows; for acts that must never overlap.
+
+The holder stops well before its lease could lapse, by a clock that also runs while the host is
+suspended. A successor waits, beyond the lapse, until an act of the former holder can no longer be
+too close.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+import structlog
+
+from verbenawind.clock import Clock
+from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.kernel.messages import Value
+from verbenawind.kernel.row_ports import (
+    RowCheck,
+    RowId,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+
+__all__ = ["RowLease"]
+
+_DURATION_S = 1.5
+_RENEWAL_S = 0.5
+# Part of the duration that covers clocks which run at different rates.
+_DRIFT_FRACTION = 0.1
+_WRITE_TIMEOUT_S = 1.0
+_POLL_S = 0.1
+# Each further host in the order of candidates waits so much longer.
+_RANK_DELAY_S = 0.3
+# What reading the store's clock may be off.
+_CLOCK_MARGIN_S = 0.3
+
+
+class _Holding(Value, frozen=True, kw_only=True):
+    """The row: who holds the lease, and when it last may have acted, by the store's clock."""
+
+    owner: str
+    epoch: int
+    beat: int = 0
+    released: bool = False
+    acted_ms: int = 0
+
+
+class RowLease:
+    """One lease.
+
+    Args:
+        store: The row store.
+        row_id: The lease's row.
+        owner: This daemon's incarnation, ``host#incarnation``.
+        act_gap_s: How far apart acts of two holders must be.
+        clock: Time source.
+        boot_s: Time that also passes while the host is suspended.
+        store_ms: The store's clock.
+        rank: This host's place among the candidates, 0 for the first.
+        rng: Jitter.
+    """
+
+    __slots__ = (
+        "_act_from_s",
+        "_act_gap_s",
+        "_acted_ms",
+        "_boot_s",
+        "_clock",
+        "_ends_boot_s",
+        "_ends_s",
+        "_log",
+        "_own",
+        "_owner",
+        "_rank",
+        "_renewed_at_s",
+        "_rng",
+        "_row_id",
+        "_seen",
+        "_seen_at_s",
+        "_store",
+        "_store_ms",
+        "_version",
+        "_view_age_s",
+        "paused",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        row_id: RowId,
+        owner: str,
+        *,
+        act_gap_s: float,
+        clock: Clock,
+        boot_s: Callable[[], float],
+        store_ms: Callable[[], int],
+        view_age_s: Callable[[], float],
+        rank: Callable[[], int],
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._row_id = row_id
+        self._owner = owner
+        self._act_gap_s = act_gap_s
+        self._clock = clock
+        self._boot_s = boot_s
+        self._store_ms = store_ms
+        self._view_age_s = view_age_s
+        self._rank = rank
+        self._rng = rng
+        self._version = 0
+        self._seen: _Holding | None = None
+        self._seen_at_s = clock.monotonic_s()
+        self._own: _Holding | None = None
+        self._renewed_at_s = 0.0
+        self._ends_s = self._ends_boot_s = float("-inf")
+        self._act_from_s = 0.0
+        self._acted_ms = 0
+        self._log = structlog.get_logger("lease")
+        self.paused = False
+
+    @property
+    def epoch(self) -> int:
+        """A number that rises with each holder."""
+        return self._own.epoch if self._own is not None else 0
+
+    def remaining_s(self) -> float:
+        """Return for how long this daemon surely holds the lease, in seconds."""
+        left_s = self._ends_s - self._clock.monotonic_s()
+        return min(left_s, self._ends_boot_s - self._boot_s())
+
+    def may_act(self, act_s: float) -> bool:
+        """Return whether an act that takes up to *act_s* seconds may begin now."""
+        return (
+            self._own is not None
+            and not self.paused
+            and self.remaining_s() > act_s
+            and self._clock.monotonic_s() >= self._act_from_s
+        )
+
+    def acted(self) -> None:
+        """Note that an act begins, for the next holder."""
+        self._acted_ms = self._store_ms()
+
+    def take(self, row: StoredRow) -> None:
+        """Take in the lease's row from the feed."""
+        if row.value is None or row.version <= self._version:
+            return
+        self._version = row.version
+        self._seen_at_s = self._clock.monotonic_s()
+        self._seen = msgspec.json.decode(row.value, type=_Holding)
+        if self._own is not None and self._seen.owner != self._owner:
+            self._lose("another host holds it")
+
+    async def run(self) -> None:
+        """Hold the lease whenever nobody else does, until cancelled."""
+        while True:
+            if self._own is not None:
+                await self._renew()
+            elif not self.paused and self._is_free():
+                await self._acquire()
+            await self._clock.sleep(_POLL_S)
+
+    async def release(self) -> None:
+        """Give the lease up, telling the next holder when the last act was."""
+        self.paused = True
+        own = self._own
+        if own is None:
+            return
+        self._lose("it is given up")
+        try:
+            await self._write(msgspec.structs.replace(own, released=True, acted_ms=self._acted_ms))
+        except (RowConflict, StoreUnavailable) as error:
+            self._log.warning("lease_not_released", reason=error.message)
+
+    def _is_free(self) -> bool:
+        seen = self._seen
+        rest_s = self._clock.monotonic_s() - self._seen_at_s
+        delay_s = self._rank() * _RANK_DELAY_S * self._rng.uniform(0.8, 1.2)
+        if self._view_age_s() > _DURATION_S:
+            return False
+        if seen is None or seen.released:
+            return rest_s >= delay_s
+        if _host(seen.owner) == _host(self._owner):
+            # An earlier process of this host, which is one holder with this one.
+            return True
+        return rest_s >= _DURATION_S + delay_s
+
+    async def _acquire(self) -> None:
+        seen = self._seen
+        own = _Holding(owner=self._owner, epoch=(seen.epoch if seen else 0) + 1)
+        asked_s, asked_boot_s = self._clock.monotonic_s(), self._boot_s()
+        try:
+            await self._write(own)
+        except RowConflict as conflict:
+            # The feed brings the row that stands in the way.
+            self._log.info("lease_not_acquired", reason=conflict.message)
+            self._seen_at_s = self._clock.monotonic_s()
+            return
+        except StoreUnavailable as error:
+            self._log.info("lease_not_acquired", reason=error.message)
+            return
+        self._own = self._seen = own
+        self._extend(asked_s, asked_boot_s)
+        self._act_from_s = self._clock.monotonic_s() + self._wait_s(seen)
+        self._log.info(
+            "lease_acquired",
+            epoch=own.epoch,
+            former=seen.owner if seen else "",
+            acts_in_s=round(self._act_from_s - self._clock.monotonic_s(), 2),
+        )
+
+    def _wait_s(self, former: _Holding | None) -> float:
+        """Return how long to wait before the first act."""
+        if former is None or _host(former.owner) == _host(self._owner):
+            return 0.0
+        if former.released:
+            if not former.acted_ms:
+                return 0.0
+            passed_s = (self._store_ms() - former.acted_ms) / 1000
+            return max(0.0, self._act_gap_s + _CLOCK_MARGIN_S - passed_s)
+        return self._act_gap_s + _CLOCK_MARGIN_S
+
+    async def _renew(self) -> None:
+        own = self._own
+        assert own is not None
+        if self.remaining_s() <= 0:
+            self._lose("it could not be renewed in time")
+            return
+        asked_s, asked_boot_s = self._clock.monotonic_s(), self._boot_s()
+        if asked_s - self._renewed_at_s < _RENEWAL_S:
+            return
+        renewed = msgspec.structs.replace(own, beat=own.beat + 1, acted_ms=self._acted_ms)
+        try:
+            await self._write(renewed)
+        except RowConflict:
+            self._lose("another host holds it")
+        except StoreUnavailable as error:
+            self._log.info("lease_not_renewed", reason=error.message)
+        else:
+            if self._own is own and self.remaining_s() > 0:
+                self._own = renewed
+                self._extend(asked_s, asked_boot_s)
+
+    async def _write(self, holding: _Holding) -> None:
+        version = await self._store.commit(
+            RowTransaction(
+                checks=(RowCheck(row_id=self._row_id, version=self._version),),
+                writes=(RowWrite(row_id=self._row_id, value=msgspec.json.encode(holding)),),
+            ),
+            _WRITE_TIMEOUT_S,
+        )
+        self._version = max(self._version, version)
+        self._seen = holding
+        self._seen_at_s = self._clock.monotonic_s()
+
+    def _extend(self, asked_s: float, asked_boot_s: float) -> None:
+        held_s = _DURATION_S * (1 - _DRIFT_FRACTION)
+        self._renewed_at_s = asked_s
+        self._ends_s = asked_s + held_s
+        self._ends_boot_s = asked_boot_s + held_s
+
+    def _lose(self, reason: str) -> None:
+        epoch = self.epoch
+        self._own = None
+        self._ends_s = self._ends_boot_s = float("-inf")
+        self._log.warning("lease_lost", epoch=epoch, reason=reason)
+
+
+def _host(owner: str) -> str:
+    return owner.partition("#")[0]
--- a/tests/programs/processes.py
+++ b/tests/programs/processes.py
@@ -150,8 +150,8 @@
         await self._reading
 
     async def _read(self) -> None:
-        assert self.process.stderr is not None
-        async for raw in self.process.stderr:
+        assert self.process.stdout is not None
+        async for raw in self.process.stdout:
             line = raw.decode(errors="replace").rstrip()
             self.lines.append(line)
             if '"serving"' in line and not self._address.done():
@@ -168,7 +168,6 @@
         *arguments,
         env=environment,
         stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.PIPE,
     )
 
 
