--- a/src/verbenawind/gateway/types.py
+++ b/src/verbenawind/gateway/types.py
@@ -102,4 +102,3 @@
     draining: bool
     started_ms: int
     versions: Mapping[str, int]
-    orders_accepted: int = 0
--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -205,6 +205,7 @@
         self._socket.bind((host, port))
         config = uvicorn.Config(
             app,
+            interface="asgi3",
             loop="asyncio",
             http=partial(  # type: ignore[arg-type]
                 _Protocol,
--- a/src/verbenawind/log_output.py
+++ b/src/verbenawind/log_output.py
@@ -25,7 +25,7 @@
         descriptor: Where to write; it is set to non-blocking.
     """
 
-    __slots__ = ("_descriptor", "_flushing", "_partial", "_waiting", "dropped")
+    __slots__ = ("__weakref__", "_descriptor", "_flushing", "_partial", "_waiting", "dropped")
 
     def __init__(self, descriptor: int) -> None:
         os.set_blocking(descriptor, False)
--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -112,8 +112,6 @@
     state: Literal["ready", "draining"]
     # Unix time in ms at which this incarnation started.
     born: int = 0
-    # Counts the orders that the engine has accepted.
-    seq: int = 0
     models: list[_LoadedModel] = []
 
 
@@ -164,7 +162,6 @@
         draining=wire.state == "draining",
         started_ms=wire.born,
         versions={model.name: model.version for model in wire.models},
-        orders_accepted=wire.seq,
     )
 
 
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -244,8 +244,7 @@
 
     def _orders_of(self, engine: Backend) -> int:
         instance = engine.instance
-        known = self._orders.get((instance.instance_id, instance.started_ms), 0)
-        return max(known, instance.orders_accepted)
+        return self._orders.get((instance.instance_id, instance.started_ms), 0)
 
     def _spawn(self, engine: Backend, order: LoadOrder) -> None:
         task = asyncio.get_running_loop().create_task(self._give(engine, order))
