--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -1,7 +1,7 @@
 """Batch jobs: accepted once, run wherever engines have room, listed at fixed positions."""
 
 from verbenawind.batches.book import JobBook
-from verbenawind.batches.journal import JOBS_TABLE, JobJournal
+from verbenawind.batches.journal import JOBS_TABLE, JobJournal, StoredJob
 from verbenawind.batches.keeper import JobKeeper
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.service import BatchJobs
@@ -29,4 +29,5 @@
     "JobState",
     "ResultState",
     "ResultsPage",
+    "StoredJob",
 ]
--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -18,6 +18,8 @@
 _READ_TIMEOUT_S = 2.0
 # A reader that waits for a result looks this often.
 _POLL_S = 0.2
+# Shorter waits are over already.
+_LEAST_WAIT_S = 0.001
 _RETRY_S = 0.5
 # Submissions that are kept decoded for reads of bodies, and their size.
 _MAX_KEPT_JOBS = 8
@@ -123,7 +125,7 @@
         while True:
             found = await self._journal.results(job_id, after, _READ_TIMEOUT_S)
             left_s = ends_at_s - self._clock.monotonic_s()
-            if found or after >= total or left_s <= 0:
+            if found or after >= total or left_s <= _LEAST_WAIT_S:
                 return ResultsPage(total=total, results=found)
             await self._clock.sleep(min(_POLL_S, left_s))
 
--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -17,17 +17,13 @@
     ServiceShare,
 )
 from verbenawind.kernel.messages import Location
+from verbenawind.node import NamedVersion
+from verbenawind.platform.names import OPERATOR_TABLE, SERVERS_TABLE
 
-__all__ = [
-    "CONFIGURATION_KEY",
-    "VERSION_KEY_PREFIX",
-    "decode_configuration",
-    "decode_instance",
-    "decode_named_version",
-]
+__all__ = ["PlatformRegistry", "decode_configuration", "decode_instance"]
 
-CONFIGURATION_KEY = "config"
-VERSION_KEY_PREFIX = "version/"
+_CONFIGURATION_KEY = "config"
+_VERSION_KEY_PREFIX = "version/"
 _MS = 1000.0
 
 _KINDS = {
@@ -120,6 +116,33 @@
     version: int
 
 
+class PlatformRegistry:
+    """Decodes the platform's rows; implements the RegistryFormat port.
+
+    Args:
+        region_of_zone: The region of each availability zone.
+    """
+
+    operator_table = OPERATOR_TABLE
+    servers_table = SERVERS_TABLE
+
+    def __init__(self, region_of_zone: Mapping[str, str]) -> None:
+        self._region_of_zone = region_of_zone
+
+    def operator_row(self, key: str, value: bytes) -> GatewayConfiguration | NamedVersion | None:
+        """Return the configuration, or the version that a trainer names."""
+        if key == _CONFIGURATION_KEY:
+            return decode_configuration(value)
+        if not key.startswith(_VERSION_KEY_PREFIX):
+            return None
+        wire = msgspec.json.decode(value, type=_NamedVersion)
+        return NamedVersion(model=wire.model, version=wire.version)
+
+    def instance(self, instance_id: str, value: bytes) -> Instance | None:
+        """Return a backend server's entry, None where it names none that can be used."""
+        return decode_instance(instance_id, value, self._region_of_zone)
+
+
 def decode_configuration(value: bytes) -> GatewayConfiguration:
     """Return the operator's configuration.
 
@@ -165,16 +188,6 @@
     )
 
 
-def decode_named_version(value: bytes) -> tuple[str, int]:
-    """Return the model and the version that its trainer names.
-
-    Raises:
-        msgspec.MsgspecError: The value is none.
-    """
-    wire = msgspec.json.decode(value, type=_NamedVersion)
-    return wire.model, wire.version
-
-
 def _route(wire: _Route) -> Route:
     shares = [
         ServiceShare(service=share.service, weight=share.weight)
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -8,42 +8,24 @@
 from random import Random
 from typing import Any
 
-import msgspec
 import structlog
 from absl import app as absl_app
 from absl import flags
 
-from verbenawind.batches import JOBS_TABLE, BatchJobs, BatchRunner, JobBook, JobJournal, JobKeeper
-from verbenawind.batches.journal import StoredJob
 from verbenawind.clock import Clock, SystemClock, boot_time_s
 from verbenawind.errors import SettingsInvalid
-from verbenawind.gateway import Directory, Forwarder, RouteTable, StreamForwarder
 from verbenawind.http_server import HttpServer
-from verbenawind.ids import new_id
-from verbenawind.kernel.rendezvous import top
-from verbenawind.kernel.row_ports import RowId, StoredRow
 from verbenawind.logs import LogCounts, configure_logs
 from verbenawind.metrics import Metrics
+from verbenawind.node import Node, NodeSettings
 from verbenawind.platform.backends import HttpBackends
-from verbenawind.platform.configuration import (
-    CONFIGURATION_KEY,
-    VERSION_KEY_PREFIX,
-    decode_configuration,
-    decode_instance,
-    decode_named_version,
-)
+from verbenawind.platform.configuration import PlatformRegistry
 from verbenawind.platform.front import Front
-from verbenawind.platform.names import OPERATOR_TABLE, SERVERS_TABLE
 from verbenawind.platform.settings import HostSettings, load_host_settings
 from verbenawind.platform.store import PlatformStore
 from verbenawind.plugins.http1_client import Http1Client
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
-from verbenawind.state.beats import HOSTS_TABLE, Beat, HostBeats
-from verbenawind.state.following import TableFollower
 from verbenawind.state.relay import RelayClient, RelayServer
-from verbenawind.state.row_lease import RowLease
-from verbenawind.supervision import supervise
-from verbenawind.weights.desk import OrderDesk
 
 __all__ = ["PlatformDaemon", "run"]
 
@@ -54,11 +36,8 @@
 _BACKEND_CONNECT_TIMEOUT_S = 0.4
 # The balancer sends new connections until it has missed two answers, a second apart each.
 _UNREADY_S = 3.2
-_HAND_OVER_S = 1.5
 # What is left of the platform's grace for the exit itself.
 _EXIT_MARGIN_S = 0.8
-_RANKED_HOSTS = 8
-_LEASE_KEY = "lease/orders"
 _HEAD_BYTES = 256 * 1024
 _WRITE_TIMEOUT_S = 20.0
 
@@ -89,94 +68,42 @@
     ) -> None:
         self.settings = settings
         self._clock = clock
-        self._rng = rng
         self._log_counts = log_counts
         self._log = structlog.get_logger("daemon")
-        self._routes: RouteTable | None = None
-        self._newest: dict[str, int] = {}
-        self._draining = False
-        self._tasks: list[asyncio.Task[None]] = []
         self.metrics = Metrics()
-
-        incarnation = new_id("run")[4:16]
-        beat = Beat(
-            host=settings.host_name,
-            incarnation=incarnation,
-            address=settings.peer_address,
-            location=settings.location,
-            number=0,
-        )
-        owner = beat.owner_id
-        self._store_client = Http1Client(clock, _STORE_CONNECT_TIMEOUT_S)
         self.store = PlatformStore(
-            settings.store_address, self._store_client, clock, _DIRECT_TIMEOUT_S
+            settings.store_address,
+            Http1Client(clock, _STORE_CONNECT_TIMEOUT_S),
+            clock,
+            _DIRECT_TIMEOUT_S,
         )
         self._transport = WebSocketPeerTransport()
         self._relay_server = RelayServer(self.store.direct)
-        self.store.via = RelayClient(self._transport, self._peer_addresses, clock, rng)
-
-        self._operator_feed = self._follower(OPERATOR_TABLE, self._take_operator_row)
-        self._servers_feed = self._follower(SERVERS_TABLE, self._take_server_row)
-        self._hosts_feed = self._follower(HOSTS_TABLE, self._take_host_row)
-        self._jobs_feed = self._follower(JOBS_TABLE, self._take_job_row, partitioned=True)
-
-        self.directory = Directory(clock)
-        self._servers_feed.on_return(self.directory.feed_returned)
         self._backend_client = Http1Client(clock, _BACKEND_CONNECT_TIMEOUT_S)
         backends = HttpBackends(self._backend_client, clock, settings.host_name)
-
-        self.book = JobBook(clock)
-        journal = JobJournal(self.store, settings.max_row_bytes)
-        self.runner = BatchRunner(
-            owner=owner,
-            journal=journal,
-            book=self.book,
-            directory=self.directory,
-            port=backends,
-            routes=lambda: self._routes,
-            newest_version=lambda model: self._newest.get(model, 1),
+        self.node = Node(
+            NodeSettings(
+                host=settings.host_name,
+                location=settings.location,
+                peer_address=settings.peer_address,
+                max_row_bytes=settings.max_row_bytes,
+                order_gap_s=settings.order_gap_s,
+            ),
+            store=self.store,
             store_ms=self.store.store_ms,
-            clock=clock,
-        )
-        self.beats = HostBeats(
-            self.store,
-            beat,
-            clock=clock,
-            rng=rng,
-            busy=lambda: self.runner.busy,
-            view_age_s=self._hosts_feed.age_s,
-        )
-        self._hosts_feed.on_return(self.beats.view_returned)
-        self.keeper = JobKeeper(self.book, journal, self.runner, self.beats, clock)
-        jobs = BatchJobs(journal, self.book, self.runner, self.store.store_ms, clock)
-
-        self.lease = RowLease(
-            self.store,
-            RowId(table=HOSTS_TABLE, key=_LEASE_KEY),
-            owner,
-            act_gap_s=settings.order_gap_s,
+            backends=backends,
+            orders=backends,
+            registry=PlatformRegistry(settings.region_of_zone),
             clock=clock,
             boot_s=boot_time_s,
-            store_ms=self.store.store_ms,
-            view_age_s=self._hosts_feed.age_s,
-            rank=self._lease_rank,
             rng=rng,
         )
-        self.desk = OrderDesk(
-            self.directory,
-            backends,
-            self.lease,
-            configuration=lambda: self._routes.configuration if self._routes else None,
-            newest=self._newest,
-            needed=self._needed_version,
-            clock=clock,
-        )
-        self.book.on_change(self._job_changed)
+        self.store.via = RelayClient(self._transport, self.node.peer_addresses, clock, rng)
         self.front = Front(
-            routes=lambda: self._routes,
-            forwarder=Forwarder(self.directory, backends, settings.location, clock),
-            streams=StreamForwarder(self.directory, backends, settings.location, clock),
-            jobs=jobs,
+            routes=lambda: self.node.routes,
+            forwarder=self.node.forwarder,
+            streams=self.node.streams,
+            jobs=self.node.jobs,
             metrics=self.metrics,
             clock=clock,
         )
@@ -191,37 +118,15 @@
         ]
         self.metrics.on_render(self._collect)
 
-    @property
-    def ready(self) -> bool:
-        """Whether this daemon should be given new callers."""
-        return (
-            not self._draining
-            and self._routes is not None
-            and self._servers_feed.informed
-            and self._jobs_feed.informed
-        )
-
     async def start(self) -> None:
         """Serve, then learn; the daemon is ready once it knows the configuration."""
         await self._transport.listen(self.settings.peer_address, self._relay_server.serve)
         for server in self._servers:
             await server.start()
-        for name, work in (
-            ("operator_feed", self._operator_feed.run),
-            ("servers_feed", self._servers_feed.run),
-            ("hosts_feed", self._hosts_feed.run),
-            ("jobs_feed", self._jobs_feed.run),
-            ("beats", self.beats.run),
-            ("runner", self.runner.run),
-            ("keeper", self.keeper.run),
-            ("lease", self.lease.run),
-            ("desk", self.desk.run),
-        ):
-            supervised = supervise(name, work, self._clock)
-            self._tasks.append(asyncio.get_running_loop().create_task(supervised))
+        self.node.start()
         self._log.info(
             "started",
-            owner=self.runner.owner,
+            owner=self.node.runner.owner,
             callers_address=self.settings.callers_address,
             zone=self.settings.location.zone,
             store_address=self.settings.store_address,
@@ -230,14 +135,9 @@
     async def stop(self) -> None:
         """Give up jobs and the lease at once, serve on until callers are gone, then end."""
         started_s = self._clock.monotonic_s()
-        self._draining = self.front.draining = True
-        self.keeper.paused = True
+        self.front.draining = True
         self._log.info("stopping", grace_s=self.settings.stop_grace_s)
-        await asyncio.gather(
-            self.lease.release(),
-            self.runner.hand_over(_HAND_OVER_S),
-            self.beats.beat(leaving=True),
-        )
+        await self.node.hand_over()
         left_s = _UNREADY_S - (self._clock.monotonic_s() - started_s)
         await self._clock.sleep(max(0.0, left_s))
         left_s = self.settings.stop_grace_s - _EXIT_MARGIN_S
@@ -245,98 +145,9 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.1, left_s)):
                 await self._servers[0].stop()
-        for task in self._tasks:
-            task.cancel()
+        self.node.kill()
         self._log.info("stopped", took_s=round(self._clock.monotonic_s() - started_s, 2))
 
-    # Rows of the store.
-
-    def _follower(
-        self, table: str, listener: Callable[[StoredRow], None], *, partitioned: bool = False
-    ) -> TableFollower:
-        return TableFollower(
-            self.store,
-            table,
-            listener,
-            clock=self._clock,
-            rng=self._rng,
-            partitioned=partitioned,
-        )
-
-    def _take_operator_row(self, row: StoredRow) -> None:
-        if row.value is None:
-            return
-        key = row.row_id.key
-        try:
-            if key == CONFIGURATION_KEY:
-                self._configure(row.value)
-            elif key.startswith(VERSION_KEY_PREFIX):
-                model, version = decode_named_version(row.value)
-                if version > self._newest.get(model, 1):
-                    self._newest[model] = version
-                    self._log.info("version_named", model=model, version=version)
-                    self.desk.wake()
-        except msgspec.MsgspecError as error:
-            self._log.error("operator_row_unreadable", key=key, error=str(error))
-
-    def _configure(self, value: bytes) -> None:
-        configuration = decode_configuration(value)
-        if self._routes is not None and (
-            configuration.version <= self._routes.configuration.version
-        ):
-            return
-        self._routes = RouteTable(configuration)
-        self._log.info(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            services=len(configuration.services),
-        )
-
-    def _take_server_row(self, row: StoredRow) -> None:
-        instance_id = row.row_id.key
-        if row.value is None:
-            self.directory.remove(instance_id)
-            return
-        instance = decode_instance(instance_id, row.value, self.settings.region_of_zone)
-        if instance is None:
-            self._log.info("server_entry_unusable", server=instance_id, version=row.version)
-            return
-        self.directory.put(instance)
-        self.desk.wake()
-
-    def _take_host_row(self, row: StoredRow) -> None:
-        if row.row_id.key == _LEASE_KEY:
-            self.lease.take(row)
-        else:
-            self.beats.take(row)
-
-    def _take_job_row(self, row: StoredRow) -> None:
-        self.book.take_row(row)
-
-    def _job_changed(self, job: StoredJob) -> None:
-        if job.record.model and job.record.epoch == 1:
-            self.desk.learn_lag(job.record.model, job.record.min_version)
-        self.desk.wake()
-
-    # Questions of the parts.
-
-    def _peer_addresses(self) -> list[str]:
-        return [beat.address for beat in self.beats.others()]
-
-    def _lease_rank(self) -> int:
-        host = self.settings.host_name
-        order = top(_LEASE_KEY, self.beats.claimants([]), _RANKED_HOSTS)
-        return order.index(host) if host in order else _RANKED_HOSTS
-
-    def _needed_version(self, model: str) -> int:
-        needed = [
-            known.record.min_version
-            for known in self.book.open_jobs()
-            if known.record.model == model
-        ]
-        return max(needed, default=0)
-
     # HTTP besides the callers'.
 
     def _server(
@@ -357,7 +168,7 @@
         )
 
     async def _answer_ready(self, _scope: Scope, _receive: Receive, send: Send) -> None:
-        await _answer(send, 200 if self.ready else 503, b"", "text/plain")
+        await _answer(send, 200 if self.node.ready else 503, b"", "text/plain")
 
     async def _answer_metrics(self, _scope: Scope, _receive: Receive, send: Send) -> None:
         body, content_type = self.metrics.render(())
@@ -369,27 +180,29 @@
         for name, count in self.store.calls.items():
             call, _, outcome = name.partition(" ")
             put("store_calls", "Calls of the store.", count, call=call, outcome=outcome)
-        for end, count in self.runner.counts.runs.items():
+        for end, count in self.node.runner.counts.runs.items():
             put("item_runs", "Runs of batch items, by how they ended.", count, end=end)
-        for answer, count in self.desk.counts.answers.items():
+        for answer, count in self.node.desk.counts.answers.items():
             put("orders", "Orders to engines, by their answer.", count, answer=answer)
         for feed in ("operator", "servers", "hosts", "jobs"):
-            age_s = getattr(self, f"_{feed}_feed").age_s()
+            age_s = getattr(self.node, f"{feed}_feed").age_s()
             put("feed_age_seconds", "Time since a feed was heard.", age_s, feed=feed)
-        put("jobs_owned", "Open jobs that are run here.", len(self.runner.jobs))
-        put("results_listed", "Results listed here.", self.runner.counts.listed)
-        put("job_takeovers", "Jobs taken over from other daemons.", self.keeper.takeovers)
+        put("jobs_owned", "Open jobs that are run here.", len(self.node.runner.jobs))
+        put("results_listed", "Results listed here.", self.node.runner.counts.listed)
+        put("job_takeovers", "Jobs taken over from other daemons.", self.node.keeper.takeovers)
         put("relayed_calls", "Store calls made for peers.", self._relay_server.relayed)
         put(
             "backend_connections_opened",
             "Connections to backend servers.",
             self._backend_client.opened,
         )
-        put("lease_held", "Whether this daemon may order engines.", float(self.lease.epoch > 0))
+        put(
+            "lease_held", "Whether this daemon may order engines.", float(self.node.lease.epoch > 0)
+        )
         put(
             "configuration_version",
             "The configuration in force.",
-            self._routes.configuration.version if self._routes else 0,
+            self.node.routes.configuration.version if self.node.routes else 0,
         )
         if self._log_counts is not None:
             put("log_lines_dropped", "Log lines without a reader.", self._log_counts.dropped)
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -227,7 +227,7 @@
         unsure = False
         error = StoreUnavailable("no time was left", effect_possible=False)
         tries = 0
-        while (left_s := ends_at_s - self._clock.monotonic_s()) > 0:
+        while (left_s := ends_at_s - self._clock.monotonic_s()) > _LEAST_TRY_S:
             relayed = self._prefers_relay(tries)
             own_s = direct_s or self._direct_timeout_s * (1 if tries == 0 else 3)
             limited = msgspec.structs.replace(call, timeout_s=min(left_s, own_s))
@@ -301,6 +301,8 @@
         self.calls[name] = self.calls.get(name, 0) + 1
 
 
+# Less time than this is not enough for a try.
+_LEAST_TRY_S = 0.002
 _JSON = (("Content-Type", "application/json"),)
 # Pauses between tries of one call.
 _PAUSES_S = (0.02, 0.1, 0.2, 0.3)
--- /dev/null
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -0,0 +1,204 @@
+"""Backend servers in memory that serve opaque requests and event streams, with faults."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.gateway import Attempt, Instance
+from verbenawind.gateway.events import StreamEvent
+from verbenawind.weights.desk import EngineReport
+from verbenawind.weights.rolling import LoadOrder, OrderAnswer, OrderReply
+
+__all__ = ["OpaqueEngine", "OpaqueEngines", "text_of"]
+
+_OK = 200
+_UNAVAILABLE = 503
+_MISDIRECTED = 421
+_SERVER_ERROR = 500
+_UNPROCESSABLE = 422
+_QUEUE_POLL_S = 0.005
+
+
+def text_of(item_id: str, events: int) -> str:
+    """Return the whole text of an item."""
+    return "\n".join(f"{item_id}.{number}" for number in range(1, events + 1))
+
+
+class OpaqueEngine:
+    """One engine.
+
+    Args:
+        instance: Its entry.
+        pace_s: Time of one event.
+        load_s: Time of a change of version.
+    """
+
+    def __init__(self, instance: Instance, pace_s: float, load_s: float) -> None:
+        self.instance = instance
+        self.pace_s = pace_s
+        self.load_s = load_s
+        self.versions = dict(instance.versions)
+        self.running = 0
+        self.most_running = 0
+        self.dark = False
+        self.down = False
+        self.fail_items: set[str] = set()
+        self.refuse_items: set[str] = set()
+        self.break_after: int | None = None
+        self.loading = False
+        self.orders: list[tuple[float, int, LoadOrder]] = []
+        self.started: list[tuple[float, str, int | None]] = []
+
+
+class _Answer:
+    """A response; implements the Answer port."""
+
+    def __init__(
+        self, engine: OpaqueEngine, attempt: Attempt, status: int, *, refused: bool = False
+    ) -> None:
+        self.status = status
+        self.headers: Sequence[tuple[str, str]] = ()
+        self._engine = engine
+        self._attempt = attempt
+        self._refused = refused
+        self._next = (attempt.resume_after or 0) + 1
+        self._made = 0
+        self._version = engine.versions.get(_model(attempt), 0)
+        self._running = status == _OK and not refused
+        self._body = [attempt.request.body] if self._running else []
+
+    @property
+    def refused(self) -> bool:
+        """Whether the request did not run."""
+        return self._refused
+
+    @property
+    def signed(self) -> bool:
+        """Every answer bears the server's mark."""
+        return True
+
+    @property
+    def version(self) -> int | None:
+        """The version at the start."""
+        return self._version
+
+    async def chunk(self) -> bytes:
+        """Return the request's body as the answer's."""
+        if not self._body:
+            self.close()
+            return b""
+        await asyncio.sleep(self._engine.pace_s)
+        return self._body.pop()
+
+    async def events(self) -> Sequence[StreamEvent] | None:
+        """Return the next event."""
+        engine = self._engine
+        if self._next > _events(self._attempt):
+            self.close()
+            return None
+        await asyncio.sleep(engine.pace_s)
+        await _until(lambda: not (engine.dark or engine.loading))
+        self._made += 1
+        broken = engine.break_after is not None and self._made > engine.break_after
+        if engine.down or broken:
+            self.close()
+            raise BackendServerFailed("the stream broke off")
+        version = engine.versions.get(_model(self._attempt), 0)
+        changed = version if version != self._version else None
+        self._version = version
+        number, self._next = self._next, self._next + 1
+        data = f"{self._attempt.request.request_id}.{number}"
+        return [StreamEvent(event_id=number, data=data, version=changed, raw=data.encode())]
+
+    def close(self) -> None:
+        """End the run."""
+        if self._running:
+            self._running = False
+            self._engine.running -= 1
+
+
+class OpaqueEngines:
+    """The engines by id; implements the ports of requests and of orders."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, OpaqueEngine] = {}
+
+    def add(self, instance: Instance, *, pace_s: float = 0.03, load_s: float = 0.9) -> OpaqueEngine:
+        """Start an engine."""
+        engine = self.engines[instance.instance_id] = OpaqueEngine(instance, pace_s, load_s)
+        return engine
+
+    async def send(self, instance: Instance, attempt: Attempt) -> _Answer:
+        """Admit a request in order of arrival."""
+        engine = self.engines[instance.instance_id]
+        request_id = attempt.request.request_id
+        if engine.down:
+            raise BackendServerUnreachable(f"engine {instance.instance_id} is down")
+        await _until(lambda: not engine.dark)
+        model = _model(attempt)
+        if engine.loading:
+            return _Answer(engine, attempt, _UNAVAILABLE, refused=True)
+        if attempt.expect_version not in (None, engine.versions.get(model, 0)):
+            return _Answer(engine, attempt, _MISDIRECTED, refused=True)
+        if request_id in engine.refuse_items:
+            return _Answer(engine, attempt, _UNPROCESSABLE)
+        if request_id in engine.fail_items:
+            return _Answer(engine, attempt, _SERVER_ERROR)
+        await _until(lambda: engine.running < instance.slots)
+        engine.running += 1
+        engine.most_running = max(engine.most_running, engine.running)
+        now_s = asyncio.get_running_loop().time()
+        engine.started.append((now_s, request_id, attempt.resume_after))
+        return _Answer(engine, attempt, _OK)
+
+    async def order(self, instance: Instance, order: LoadOrder, timeout_s: float) -> OrderReply:
+        """Begin to load a version."""
+        engine = self.engines[instance.instance_id]
+        if engine.down:
+            return OrderReply(answer=OrderAnswer.UNREACHABLE, detail="down")
+        if order.expected_orders not in (None, len(engine.orders)):
+            return OrderReply(answer=OrderAnswer.BUSY, detail="other orders")
+        if engine.loading:
+            return OrderReply(answer=OrderAnswer.BUSY, detail="loading")
+        if engine.versions.get(order.model, 0) >= order.version:
+            return OrderReply(answer=OrderAnswer.HOLDS, detail="there")
+        loop = asyncio.get_running_loop()
+        engine.orders.append((loop.time(), order.fencing_number, order))
+        engine.loading = True
+        loop.call_later(engine.load_s, self._loaded, engine, order)
+        return OrderReply(answer=OrderAnswer.ACCEPTED, detail="accepted")
+
+    async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
+        """Return an engine's report."""
+        engine = self.engines[instance.instance_id]
+        if engine.down:
+            return None
+        return EngineReport(
+            versions=dict(engine.versions),
+            changing=engine.loading,
+            orders_accepted=len(engine.orders),
+            running=engine.running,
+            waiting=0,
+        )
+
+    @staticmethod
+    def _loaded(engine: OpaqueEngine, order: LoadOrder) -> None:
+        engine.versions[order.model] = order.version
+        engine.loading = False
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    """Return once a condition holds."""
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(_QUEUE_POLL_S)
+
+
+def _events(attempt: Attempt) -> int:
+    """Return how many events a request makes; its body says so."""
+    return int(attempt.request.body or b"1")
+
+
+def _model(attempt: Attempt) -> str:
+    return dict(attempt.request.headers).get("model", "")
--- a/src/verbenawind/state/beats.py
+++ b/src/verbenawind/state/beats.py
@@ -33,6 +33,8 @@
 # A view of the table older than this says nothing about anybody's silence.
 _STALE_VIEW_S = 1.6
 _POLL_S = 0.1
+# Shorter waits are over already.
+_LEAST_WAIT_S = 0.001
 
 
 class Beat(Value, frozen=True, kw_only=True):
@@ -174,7 +176,7 @@
             await self.beat()
             period_s = _BUSY_PERIOD_S if self._busy() else _IDLE_PERIOD_S
             ends_at_s = self._clock.monotonic_s() + period_s * self._rng.uniform(0.8, 1.0)
-            while (left_s := ends_at_s - self._clock.monotonic_s()) > 0:
+            while (left_s := ends_at_s - self._clock.monotonic_s()) > _LEAST_WAIT_S:
                 await self._clock.sleep(min(_POLL_S, left_s))
                 if period_s == _IDLE_PERIOD_S and self._busy():
                     break
--- /dev/null
+++ b/tests/node/fleet.py
@@ -0,0 +1,288 @@
+"""Hosts over a row store in memory and engines that answer in virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import UTC, datetime
+from random import Random
+from typing import Any
+
+import msgspec
+
+from verbenawind.batches import BatchItem, BatchSubmission, ItemResult
+from verbenawind.clock import LoopClock
+from verbenawind.gateway import (
+    EngineTraits,
+    GatewayConfiguration,
+    IngressLimits,
+    Instance,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from verbenawind.kernel.messages import Location
+from verbenawind.kernel.row_ports import RowId
+from verbenawind.node import NamedVersion, Node, NodeSettings
+from verbenawind.standins.opaque_engines import OpaqueEngine, OpaqueEngines, text_of
+from verbenawind.standins.row_store import MemoryRowStore, StoreView
+from verbenawind.standins.world import run_virtual
+
+HOST = "rollouts.example"
+PREFIX = "/batch/"
+MODEL = "tuner"
+SERVICE = "engines"
+ORDER_GAP_S = 3.0
+
+
+class PlainRegistry:
+    """Decodes rows that hold the product's own types."""
+
+    operator_table = "operator"
+    servers_table = "servers"
+
+    def operator_row(self, key: str, value: bytes) -> GatewayConfiguration | NamedVersion | None:
+        if key == "configuration":
+            return msgspec.json.decode(value, type=GatewayConfiguration)
+        return msgspec.json.decode(value, type=NamedVersion)
+
+    def instance(self, instance_id: str, value: bytes) -> Instance | None:
+        try:
+            return msgspec.json.decode(value, type=Instance)
+        except msgspec.MsgspecError:
+            return None
+
+
+class Member:
+    """A host, and how it reaches the store."""
+
+    def __init__(self, name: str, node: Node, view: StoreView) -> None:
+        self.name = name
+        self.node = node
+        self.view = view
+
+
+class Fleet:
+    """Everything of one test; make it inside a virtual loop."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.rng = Random(seed)
+        self.clock = LoopClock(datetime(2026, 1, 1, tzinfo=UTC))
+        self.store = MemoryRowStore(self.rng)
+        self.engines = OpaqueEngines()
+        self.members: dict[str, Member] = {}
+
+    def add_engine(
+        self,
+        name: str,
+        *,
+        slots: int = 8,
+        pace_s: float = 0.03,
+        version: int = 1,
+        zone: str = "a",
+        load_s: float = 0.9,
+    ) -> OpaqueEngine:
+        """Start an engine and register it."""
+        instance = Instance(
+            instance_id=name,
+            service=SERVICE,
+            address="10.0.0.1:80",
+            location=Location(zone=zone, region=zone),
+            slots=slots,
+            draining=False,
+            started_ms=1,
+            versions={MODEL: version},
+        )
+        engine = self.engines.add(instance, pace_s=pace_s, load_s=load_s)
+        self.register(instance)
+        return engine
+
+    def register(self, instance: Instance) -> None:
+        """Write a server's entry."""
+        row_id = RowId(table="servers", key=instance.instance_id)
+        self.store.put(row_id, msgspec.json.encode(instance))
+
+    def unregister(self, name: str) -> None:
+        """Remove a server's entry."""
+        self.store.put(RowId(table="servers", key=name), None)
+
+    def configure(self, version: int = 1, **changes: Any) -> None:
+        """Write a configuration with one route for batch jobs and one for plain requests."""
+        batch = Route(
+            name="batch",
+            host=HOST,
+            path_prefix=PREFIX,
+            kind=RouteKind.BATCH,
+            timeout_s=10.0,
+            target_latency_s=0.4,
+            max_attempts=3,
+            priority=1,
+            services=(ServiceShare(service=SERVICE, weight=1.0),),
+            resumable=True,
+            result_deadline_s=7.5,
+            retention_s=40.0,
+        )
+        configuration = GatewayConfiguration(
+            version=version,
+            routes=(msgspec.structs.replace(batch, **changes),),
+            services={
+                SERVICE: Service(
+                    name=SERVICE,
+                    max_connections=100,
+                    engine=EngineTraits(slots=8, models=(MODEL,)),
+                )
+            },
+            limits=IngressLimits(
+                max_header_bytes=16384,
+                max_body_bytes=1 << 20,
+                header_timeout_s=3.0,
+                idle_timeout_s=15.0,
+            ),
+        )
+        self.put_configuration(configuration)
+
+    def put_configuration(self, configuration: GatewayConfiguration) -> None:
+        """Write a configuration."""
+        row_id = RowId(table="operator", key="configuration")
+        self.store.put(row_id, msgspec.json.encode(configuration))
+
+    def name_version(self, version: int, model: str = MODEL) -> None:
+        """Name a model's newest weights."""
+        row_id = RowId(table="operator", key=f"version/{model}")
+        self.store.put(row_id, msgspec.json.encode(NamedVersion(model=model, version=version)))
+
+    def add_host(self, name: str) -> Member:
+        """Start a host."""
+        view = self.store.view(name)
+        node = Node(
+            NodeSettings(
+                host=name,
+                location=Location(zone="a", region="a"),
+                peer_address=f"{name}:1",
+                max_row_bytes=65536,
+                order_gap_s=ORDER_GAP_S,
+            ),
+            store=view,
+            store_ms=self.store.store_ms,
+            backends=self.engines,
+            orders=self.engines,
+            registry=PlainRegistry(),
+            clock=self.clock,
+            boot_s=self.clock.monotonic_s,
+            rng=self.rng,
+        )
+        node.start()
+        member = self.members[name] = Member(name, node, view)
+        return member
+
+    def kill(self, name: str) -> None:
+        """Kill a host's process."""
+        self.members.pop(name).node.kill()
+
+    async def start(self, *, hosts: int = 2, engines: int = 2, **changes: Any) -> None:
+        """Start hosts and engines and wait until the hosts are ready."""
+        self.configure(**changes)
+        for index in range(engines):
+            self.add_engine(f"engine-{index}")
+        for index in range(hosts):
+            self.add_host(f"host-{index}")
+        await self.until(lambda: all(member.node.ready for member in self.members.values()))
+
+    async def until(self, condition: Callable[[], Any], timeout_s: float = 30.0) -> float:
+        """Wait for a condition and return how long it took, in seconds."""
+        began_s = self.clock.monotonic_s()
+        while not condition():
+            assert self.clock.monotonic_s() - began_s < timeout_s, "the condition never held"
+            await self.clock.sleep(0.01)
+        return self.clock.monotonic_s() - began_s
+
+    async def submit(self, member: Member, submission: BatchSubmission) -> None:
+        """Submit a job at a host."""
+        await member.node.jobs.submit(submission, self.clock.monotonic_s() + 5.0)
+
+    async def results(self, member: Member, job_id: str) -> list[ItemResult]:
+        """Read all listed results of a job at a host."""
+        found: list[ItemResult] = []
+        while True:
+            page = await member.node.jobs.results(job_id, len(found), 0.0)
+            if not page.results:
+                return found
+            found += page.results
+
+    async def collect(
+        self, member: Member, submission: BatchSubmission, timeout_s: float = 60.0
+    ) -> list[ItemResult]:
+        """Read a job's results until all of its items are listed."""
+        found: list[ItemResult] = []
+        ends_at_s = self.clock.monotonic_s() + timeout_s
+        while len(found) < len(submission.items):
+            assert self.clock.monotonic_s() < ends_at_s, f"{len(found)} items were listed in time"
+            page = await member.node.jobs.results(submission.job_id, len(found), 1.0)
+            found += page.results
+        return found
+
+    def stop(self) -> None:
+        """Kill every host."""
+        for name in list(self.members):
+            self.kill(name)
+
+
+def job(
+    job_id: str = "job-1",
+    *,
+    groups: int = 2,
+    size: int = 4,
+    events: int | Sequence[int] = 10,
+    min_version: int = 1,
+    desired_groups: int = 0,
+    hints: Sequence[int] = (),
+    step: int = 1,
+    prefix: str = "",
+) -> BatchSubmission:
+    """Return a job; ``events`` is of each item, or of each group in turn."""
+    items = []
+    for group in range(groups):
+        count = events if isinstance(events, int) else events[group]
+        for index in range(size):
+            items.append(
+                BatchItem(
+                    item_id=f"{prefix or job_id}-g{group}-{index}",
+                    path=f"{PREFIX}{group}",
+                    headers=(("model", MODEL),),
+                    body=str(count).encode(),
+                    tokens=count * 10,
+                    group=f"{prefix or job_id}-g{group}",
+                    length_hint=hints[group] if hints else count * 10,
+                )
+            )
+    return BatchSubmission(
+        job_id=job_id,
+        host=HOST,
+        path=f"{PREFIX}{job_id}",
+        items=tuple(items),
+        model=MODEL,
+        step=step,
+        min_version=min_version,
+        desired_groups=desired_groups,
+    )
+
+
+def check_whole(submission: BatchSubmission, results: Sequence[ItemResult]) -> None:
+    """Check that each item is listed once, with exactly its own text."""
+    events = {item.item_id: int(item.body) for item in submission.items}
+    assert sorted(result.item_id for result in results) == sorted(events)
+    for result in results:
+        assert result.text == text_of(result.item_id, events[result.item_id])
+
+
+def run_fleet(work: Callable[[Fleet], Awaitable[None]], *, seed: int = 1) -> None:
+    """Run *work* with a fresh fleet on virtual time."""
+
+    async def whole() -> None:
+        fleet = Fleet(seed=seed)
+        try:
+            await work(fleet)
+        finally:
+            fleet.stop()
+            await asyncio.sleep(0.01)
+
+    run_virtual(whole())
