Count an item at its engine when it is placed, not when its task first runs

Ruled out: the choice itself, which takes the least loaded. Before: tests/node TestSpreading fails with [8, 0, 0, 0]; after it passes with [4, 4, 4, 4].

--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -316,6 +316,9 @@
         work.task = self._spawn(
             self._run_item(job, work, route, backend, choice, remaining_s, list(backends))
         )
+        # Counted at once, so that the next item of this look sees the load.
+        backend.begin()
+        work.task.add_done_callback(lambda _: backend.end())
         return True
 
     def _choose(
@@ -375,7 +378,6 @@
             expect_version=expect,
         )
         others = [name for name in engines if name != backend.instance.instance_id]
-        backend.outstanding += 1
         try:
             outcome = await run_item(
                 work.item,
@@ -391,7 +393,6 @@
                 ),
             )
         finally:
-            backend.outstanding -= 1
             work.task = None
             self._wake.set()
         self._log.info(
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -63,6 +63,14 @@
         age_s = self._clock.monotonic_s() - self._measured_at_s
         return float(self._latency_s * 0.5 ** (age_s / _FORGET_S))
 
+    def begin(self) -> None:
+        """Count a request that is sent."""
+        self.outstanding += 1
+
+    def end(self) -> None:
+        """Count a request that has ended."""
+        self.outstanding -= 1
+
     def succeeded(self, latency_s: float) -> None:
         """Record an answer and the time that it took."""
         self._failures = 0
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -185,7 +185,10 @@
             candidates=choice.candidates,
             suspected=choice.suspected,
         )
-        return asyncio.get_running_loop().create_task(self._send(exchange, backend, remaining_s))
+        task = asyncio.get_running_loop().create_task(self._send(exchange, backend, remaining_s))
+        backend.begin()
+        task.add_done_callback(lambda _: backend.end())
+        return task
 
     async def _send(self, exchange: _Exchange, backend: Backend, remaining_s: float) -> Reply:
         started_s = self._clock.monotonic_s()
@@ -195,7 +198,6 @@
             resume_after=exchange.request.resume_after,
             fresh_connection=not exchange.repeatable,
         )
-        backend.outstanding += 1
         answer: Answer | None = None
         try:
             answer = await self._port.send(backend.instance, attempt)
@@ -215,8 +217,6 @@
             if answer is not None:
                 answer.close()
             raise
-        finally:
-            backend.outstanding -= 1
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
 
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -82,7 +82,7 @@
                 outstanding=choice.outstanding,
             )
             sends += 1
-            backend.outstanding += 1
+            backend.begin()
             answer: Answer | None = None
             try:
                 answer = await self._open(backend, request, remaining_s, last_id)
@@ -119,7 +119,7 @@
                 if not route.resumable:
                     break
             finally:
-                backend.outstanding -= 1
+                backend.end()
                 if answer is not None:
                     answer.close()
         raise self._ending(request, service, error, sends)
--- a/src/verbenawind/standins/row_store.py
+++ b/src/verbenawind/standins/row_store.py
@@ -100,12 +100,13 @@
         self.commits += 1
         return self.version
 
-    def applied(self, transaction: RowTransaction) -> bool:
-        """Return whether every written row holds what the transaction wrote."""
-        return all(
-            (row := self._rows.get(write.row_id)) is not None and row.value == write.value
-            for write in transaction.writes
-        )
+    def applied_version(self, transaction: RowTransaction) -> int:
+        """Return the version of the rows that hold just what was to be written, else 0."""
+        rows = [self._rows.get(write.row_id) for write in transaction.writes]
+        for row, write in zip(rows, transaction.writes, strict=True):
+            if row is None or row.value != write.value:
+                return 0
+        return max(row.version for row in rows if row is not None)
 
     def page(self, table: str, part: str, first: str, limit: int) -> RowPage:
         """Return rows of a partition."""
@@ -212,8 +213,8 @@
             try:
                 version = self._store.apply(transaction)
             except RowConflict:
-                if unsure and self._store.applied(transaction):
-                    return self._store.version
+                if unsure and (version := self._store.applied_version(transaction)):
+                    return version
                 raise
             if self._store.hit(self._store.faults.lost_answers):
                 unsure = True
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -396,3 +396,19 @@
             assert second.node.routes is not None and second.node.routes.knows_host(HOST)
 
         run_fleet(work)
+
+
+class TestSpreading:
+    def test_items_that_start_together_spread_over_the_engines(self) -> None:
+        """Items that start in one look are spread evenly, and no engine gets more than its slots."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(engines=4)
+            first, _ = fleet.members.values()
+            submission = job(groups=4, size=4, events=20)
+            await fleet.submit(first, submission)
+            await fleet.clock.sleep(0.3)
+            assert [engine.running for engine in fleet.engines.engines.values()] == [4, 4, 4, 4]
+            check_whole(submission, await fleet.collect(first, submission))
+
+        run_fleet(work)
