Place a model's jobs at one host; announce orders before they are given; try slow engines with few runs

A next holder of the order lease waited 3.3 s after every takeover, though the last order was mostly long ago. A slow engine whose pace had faded got a full share again. A text of a single-version route whose version no engine has any more was never finished (found by tests/node/test_orders.py). Ruled out: longer idle times of our own (they are the engines').

--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -15,6 +15,7 @@
 
 _OK = 200
 _SERVER_ERROR = 500
+_MISDIRECTED = 421
 _UNPROCESSABLE = 422
 
 
@@ -33,10 +34,14 @@
 
 
 class RunOutcome(Value, frozen=True, kw_only=True):
-    """A run's end and what it was read from."""
+    """A run's end and what it was read from.
+
+    ``other_version`` is set where the engine refused a run that expects a weight version.
+    """
 
     end: RunEnd
     detail: str = ""
+    other_version: bool = False
 
 
 class RunLimits(Value, frozen=True, kw_only=True):
@@ -128,7 +133,7 @@
     try:
         async with asyncio.timeout(limits.first_event_s):
             answer = await port.send(backend.instance, attempt)
-        outcome = await _refusal(answer)
+        outcome = await _refusal(answer, limits)
         if outcome is not None:
             return outcome
         return await _read(answer, held, backend, limits, clock, paces, should_move)
@@ -143,14 +148,16 @@
             answer.close()
 
 
-async def _refusal(answer: Answer) -> RunOutcome | None:
+async def _refusal(answer: Answer, limits: RunLimits) -> RunOutcome | None:
     """Return what a response that is no stream of events means, None for a stream."""
     detail = f"status {answer.status}"
     if answer.refused:
         # The rest is read so that the connection can be used again.
         while await answer.chunk():
             pass
-        return RunOutcome(end=RunEnd.REFUSED, detail=detail)
+        misdirected = answer.status == _MISDIRECTED
+        other_version = misdirected and limits.expect_version is not None
+        return RunOutcome(end=RunEnd.REFUSED, detail=detail, other_version=other_version)
     if not answer.signed:
         return RunOutcome(end=RunEnd.BROKEN, detail=f"{detail} without the server's mark")
     if answer.status == _UNPROCESSABLE:
--- a/src/verbenawind/batches/keeper.py
+++ b/src/verbenawind/batches/keeper.py
@@ -82,7 +82,7 @@
     async def _look(self, known: KnownJob) -> None:
         record = known.record
         if record.owner == self._runner.owner:
-            # A job that was dropped after a conflict, and is this daemon's all the same.
+            # Another daemon has placed it here, or it was dropped after a conflict.
             self._runner.take(known.job)
             return
         if record.owner and not self._beats.is_gone(record.owner, known.owned_since_s):
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -41,7 +41,7 @@
 # After a refusal an engine gets no item for so long.
 _REFUSED_S = 0.08
 # An engine that may have newer weights by now is asked this often.
-_PROBE_S = 0.2
+_PROBE_S = 0.12
 _RETRY_S = 0.05
 # An item on a route without a retention is given up after so long.
 _DEFAULT_RETENTION_S = 3600.0
@@ -307,6 +307,8 @@
             for backend in self._directory.backends(service)
             if not record.model or record.model in backend.versions
         }
+        if route.single_version:
+            backends = self._of_one_version(backends, record.model, work)
         choice = self._choose(list(backends.values()), job, work, now_s)
         if choice is None:
             return False
@@ -321,14 +323,32 @@
         work.task.add_done_callback(lambda _: backend.end())
         return True
 
+    @staticmethod
+    def _of_one_version(
+        backends: dict[str, Backend], model: str, work: ItemWork
+    ) -> dict[str, Backend]:
+        """Return the engines that can go on with the item's text, which is dropped if none can."""
+        if not work.held.versions:
+            return backends
+        fit = {
+            name: backend
+            for name, backend in backends.items()
+            if backend.versions.get(model) in work.held.versions
+        }
+        if fit:
+            return fit
+        work.held.clear()
+        return backends
+
     def _choose(
         self, backends: Sequence[Backend], job: OwnedJob, work: ItemWork, now_s: float
     ) -> EngineChoice | None:
         record = job.stored.record
+        names = [backend.instance.instance_id for backend in backends]
         states = [
             EngineState(
                 instance_id=backend.instance.instance_id,
-                slots=backend.instance.slots,
+                slots=self._paces.room(backend.instance.instance_id, backend.instance.slots, names),
                 outstanding=backend.outstanding,
                 pace_s=self._paces.pace_s(backend.instance.instance_id),
                 version=backend.versions.get(record.model, 0) if record.model else 0,
@@ -451,6 +471,9 @@
                 backend.succeeded(0.0)
                 self._finish(job, work)
             case RunEnd.REFUSED:
+                if outcome.other_version and not choice.probing:
+                    newest_named = self._newest_version(model)
+                    backend.learn_version(model, max(newest_named, backend.versions.get(model, 0)))
                 self._refused_until_s[name] = now_s + (0.0 if choice.probing else _REFUSED_S)
                 work.not_before_s = now_s
             case RunEnd.SLOW:
--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -7,10 +7,12 @@
 
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.journal import JobJournal, StoredJob
+from verbenawind.batches.placement import place_job
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.types import BatchSubmission, JobRecord, JobState, ResultsPage
 from verbenawind.clock import Clock
 from verbenawind.errors import Outcome, StoreUnavailable, UnknownResource
+from verbenawind.state.beats import HostBeats
 
 __all__ = ["BatchJobs"]
 
@@ -31,21 +33,24 @@
     Args:
         journal: The lasting record.
         book: Every job that is known.
-        runner: Runs the jobs that are accepted here.
+        runner: Runs the jobs that are placed here.
+        beats: Who else may run jobs.
         store_ms: The store's clock.
         clock: Time source.
     """
 
-    __slots__ = ("_book", "_clock", "_journal", "_kept", "_log", "_runner", "_store_ms")
+    __slots__ = ("_beats", "_book", "_clock", "_journal", "_kept", "_log", "_runner", "_store_ms")
 
     def __init__(
         self,
         journal: JobJournal,
         book: JobBook,
         runner: BatchRunner,
+        beats: HostBeats,
         store_ms: Callable[[], int],
         clock: Clock,
     ) -> None:
+        self._beats = beats
         self._journal = journal
         self._book = book
         self._runner = runner
@@ -68,6 +73,13 @@
         if self._book.get(job_id) is not None:
             self._log.info("job_repeated", job_id=job_id)
             return
+        place = place_job(
+            f"{submission.host}/{submission.model}",
+            self._runner.owner,
+            [beat.owner_id for beat in self._beats.neighbours()],
+            stopping=self._runner.stopping,
+            view_is_fresh=self._beats.view_is_fresh,
+        )
         record = JobRecord(
             job_id=job_id,
             host=submission.host,
@@ -77,7 +89,7 @@
             min_version=submission.min_version,
             total=len(submission.items),
             submitted_ms=self._store_ms(),
-            owner="" if self._runner.stopping else self._runner.owner,
+            owner=place.owner_id,
             epoch=1,
         )
         started_s = self._clock.monotonic_s()
@@ -94,13 +106,16 @@
             error.outcome = Outcome.MAY_HAVE_RUN if error.effect_possible else Outcome.NOT_RUN
             error.retry_after_s = _RETRY_S
             raise
-        self._accepted(submission, stored, started_s)
+        self._accepted(submission, stored, started_s, place.reason)
 
-    def _accepted(self, submission: BatchSubmission, stored: StoredJob, started_s: float) -> None:
+    def _accepted(
+        self, submission: BatchSubmission, stored: StoredJob, started_s: float, reason: str
+    ) -> None:
         self._log.info(
             "job_accepted",
             job_id=submission.job_id,
             owner=stored.record.owner,
+            reason=reason,
             items=stored.record.total,
             step=submission.step,
             model=submission.model,
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -36,7 +36,7 @@
 from verbenawind.kernel.rendezvous import top
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow
 from verbenawind.state.beats import HOSTS_TABLE, Beat, HostBeats
-from verbenawind.state.following import TableFollower
+from verbenawind.state.following import FEED_PAUSE_S, FEED_WAIT_S, TableFollower
 from verbenawind.state.row_lease import RowLease
 from verbenawind.supervision import supervise
 from verbenawind.weights.desk import OrderDesk, OrderPort
@@ -47,6 +47,10 @@
 # Hosts beyond this rank all wait equally long before they contend for the lease.
 _RANKED_HOSTS = 8
 _HAND_OVER_S = 1.5
+# Jobs change rarely, and a new one should begin soon.
+_JOBS_PAUSE_S = 0.05
+# A silent host is noticed by a feed that answers often.
+_HOSTS_WAIT_S = 0.5
 
 
 class NamedVersion(Value, frozen=True, kw_only=True):
@@ -127,8 +131,10 @@
 
         self.operator_feed = self._follower(registry.operator_table, self._take_operator_row)
         self.servers_feed = self._follower(registry.servers_table, self._take_server_row)
-        self.hosts_feed = self._follower(HOSTS_TABLE, self._take_host_row)
-        self.jobs_feed = self._follower(JOBS_TABLE, self._take_job_row, partitioned=True)
+        self.hosts_feed = self._follower(HOSTS_TABLE, self._take_host_row, wait_s=_HOSTS_WAIT_S)
+        self.jobs_feed = self._follower(
+            JOBS_TABLE, self._take_job_row, partitioned=True, pause_s=_JOBS_PAUSE_S
+        )
 
         self.directory = Directory(clock)
         self.servers_feed.on_return(self.directory.feed_returned)
@@ -162,7 +168,7 @@
         )
         self.hosts_feed.on_return(self.beats.view_returned)
         self.keeper = JobKeeper(self.book, journal, self.runner, self.beats, clock)
-        self.jobs = BatchJobs(journal, self.book, self.runner, store_ms, clock)
+        self.jobs = BatchJobs(journal, self.book, self.runner, self.beats, store_ms, clock)
         self.lease = RowLease(
             store,
             RowId(table=HOSTS_TABLE, key=_LEASE_KEY),
@@ -238,7 +244,13 @@
     # Rows of the store.
 
     def _follower(
-        self, table: str, listener: Callable[[StoredRow], None], *, partitioned: bool = False
+        self,
+        table: str,
+        listener: Callable[[StoredRow], None],
+        *,
+        partitioned: bool = False,
+        pause_s: float = FEED_PAUSE_S,
+        wait_s: float = FEED_WAIT_S,
     ) -> TableFollower:
         return TableFollower(
             self._store,
@@ -247,6 +259,8 @@
             clock=self._clock,
             rng=self._rng,
             partitioned=partitioned,
+            pause_s=pause_s,
+            wait_s=wait_s,
         )
 
     def _take_operator_row(self, row: StoredRow) -> None:
--- a/src/verbenawind/state/beats.py
+++ b/src/verbenawind/state/beats.py
@@ -28,8 +28,12 @@
 _BUSY_PERIOD_S = 0.5
 _IDLE_PERIOD_S = 4.0
 _WRITE_TIMEOUT_S = 1.5
-# Beats of a busy daemon that fail to come before it is taken for gone.
+# Silence of a busy daemon after which it is taken for gone; shorter before its first beat as an
+# owner, which comes at once.
 _SILENCE_S = 1.8
+_FIRST_SILENCE_S = 1.0
+# An idle daemon that has not beaten for so long gets no work.
+_IDLE_SILENCE_S = 6.0
 # A view of the table older than this says nothing about anybody's silence.
 _STALE_VIEW_S = 1.6
 _POLL_S = 0.1
@@ -149,6 +153,21 @@
             if host != self._own.host and not seen.beat.leaving
         ]
 
+    @property
+    def view_is_fresh(self) -> bool:
+        """Whether the table has been heard of lately."""
+        return self.view_age_s() <= _STALE_VIEW_S
+
+    def neighbours(self) -> Sequence[Beat]:
+        """Return the daemons of this availability zone that have beaten lately."""
+        now_s = self._clock.monotonic_s()
+        return [
+            beat
+            for beat in self.others()
+            if beat.location.zone == self._own.location.zone
+            and now_s - self._seen[beat.host].at_s <= _IDLE_SILENCE_S
+        ]
+
     def is_gone(self, owner_id: str, since_s: float) -> bool:
         """Return whether the daemon that signs as *owner_id* is taken for gone.
 
@@ -168,10 +187,13 @@
         if seen is not None and seen.beat.leaving:
             return True
         now_s = self._clock.monotonic_s()
-        if self.view_age_s() > _STALE_VIEW_S or now_s < self._silent_view_until_s:
+        if now_s < self._silent_view_until_s:
             return False
-        last_s = max(since_s, seen.at_s if seen is not None else since_s)
-        return now_s - last_s > _SILENCE_S
+        # Only silence that the feed has borne out counts.
+        heard_s = now_s - self.view_age_s()
+        if seen is None or seen.at_s <= since_s:
+            return heard_s - since_s > _FIRST_SILENCE_S
+        return heard_s - seen.at_s > _SILENCE_S
 
     def claimants(self, gone: Collection[str]) -> Sequence[str]:
         """Return the hosts that may take over, this one included, without the *gone* ones."""
--- a/src/verbenawind/state/following.py
+++ b/src/verbenawind/state/following.py
@@ -9,13 +9,13 @@
 from verbenawind.errors import HistoryLost, StoreUnavailable
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow
 
-__all__ = ["TableFollower"]
+__all__ = ["FEED_PAUSE_S", "FEED_WAIT_S", "TableFollower"]
 
 _READ_TIMEOUT_S = 3.0
-# The feed holds a call for so long; a silent connection is noticed soon after.
-_FEED_WAIT_S = 1.0
-# The pause between calls that brought rows bounds the number of calls.
-_FEED_PAUSE_S = 0.2
+# How long a call is held usually; a silent connection is noticed soon after.
+FEED_WAIT_S = 1.0
+# The usual pause between calls that brought rows.
+FEED_PAUSE_S = 0.2
 _FIRST_PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.5
 # A silence of the feed beyond its wait that is worth a log line.
@@ -32,6 +32,8 @@
         clock: Time source.
         rng: Jitter of retries.
         partitioned: Whether the rows lie in many partitions instead of the unnamed one.
+        wait_s: How long the store may hold a call for a first change.
+        pause_s: The pause between calls that brought rows, which bounds their number.
     """
 
     __slots__ = (
@@ -42,10 +44,12 @@
         "_log",
         "_on_return",
         "_partitioned",
+        "_pause_s",
         "_rng",
         "_store",
         "_table",
         "_version",
+        "_wait_s",
         "informed",
     )
 
@@ -58,6 +62,8 @@
         clock: Clock,
         rng: Random,
         partitioned: bool = False,
+        pause_s: float = FEED_PAUSE_S,
+        wait_s: float = FEED_WAIT_S,
     ) -> None:
         self._store = store
         self._table = table
@@ -65,6 +71,8 @@
         self._clock = clock
         self._rng = rng
         self._partitioned = partitioned
+        self._pause_s = pause_s
+        self._wait_s = wait_s
         self._known: dict[RowId, int] = {}
         self._version: int | None = None
         self._heard_at_s = clock.monotonic_s()
@@ -130,13 +138,13 @@
         self._version = version
 
     async def _read_changes(self, after: int) -> None:
-        changes = await self._store.changes(self._table, after, _FEED_WAIT_S)
+        changes = await self._store.changes(self._table, after, self._wait_s)
         self._heard()
         for row in changes.rows:
             self._take(row)
         self._version = max(after, changes.version)
         if changes.rows:
-            await self._clock.sleep(_FEED_PAUSE_S * self._rng.uniform(0.7, 1.0))
+            await self._clock.sleep(self._pause_s * self._rng.uniform(0.7, 1.0))
 
     def _take(self, row: StoredRow) -> None:
         if row.version < self._known.get(row.row_id, 0):
@@ -150,7 +158,7 @@
     def _heard(self) -> None:
         silent_s = self.age_s()
         self._heard_at_s = self._clock.monotonic_s()
-        if silent_s > _FEED_WAIT_S + _SILENCE_S:
+        if silent_s > self._wait_s + _SILENCE_S:
             self._log.info("feed_regained", table=self._table, silent_s=round(silent_s, 2))
         for listener in self._on_return:
-            listener(silent_s - _FEED_WAIT_S)
+            listener(silent_s - self._wait_s)
--- a/src/verbenawind/state/row_lease.py
+++ b/src/verbenawind/state/row_lease.py
@@ -5,6 +5,7 @@
 too close.
 """
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -35,10 +36,12 @@
 _RANK_DELAY_S = 0.3
 # What reading the store's clock may be off.
 _CLOCK_MARGIN_S = 0.3
+# Acts begin and end within this time of their announcement.
+_ANNOUNCED_S = 1.2
 
 
 class _Holding(Value, frozen=True, kw_only=True):
-    """The row: who holds the lease, and when it last may have acted, by the store's clock."""
+    """The row: who holds the lease, and until when it may have acted, by the store's clock."""
 
     owner: str
     epoch: int
@@ -83,6 +86,7 @@
         "_store_ms",
         "_version",
         "_view_age_s",
+        "_writing",
         "paused",
     )
 
@@ -118,6 +122,7 @@
         self._ends_s = self._ends_boot_s = float("-inf")
         self._act_from_s = 0.0
         self._acted_ms = 0
+        self._writing = asyncio.Lock()
         self._log = structlog.get_logger("lease")
         self.paused = False
 
@@ -132,7 +137,7 @@
         return min(left_s, self._ends_boot_s - self._boot_s())
 
     def may_act(self, act_s: float) -> bool:
-        """Return whether an act that takes up to *act_s* seconds may begin now."""
+        """Return whether an act that takes up to *act_s* seconds may be announced now."""
         return (
             self._own is not None
             and not self.paused
@@ -140,9 +145,20 @@
             and self._clock.monotonic_s() >= self._act_from_s
         )
 
-    def acted(self) -> None:
-        """Note that an act begins, for the next holder."""
-        self._acted_ms = self._store_ms()
+    async def announce(self, act_s: float) -> bool:
+        """Write that acts follow, and return whether they may begin now.
+
+        A next holder reads from the row when the last act may have been, and need not wait when
+        that was long ago.
+        """
+        if not self.may_act(act_s):
+            return False
+        announced_s = self._clock.monotonic_s()
+        self._acted_ms = self._store_ms() + int(_ANNOUNCED_S * 1000)
+        await self._renew(at_once=True)
+        in_time = self._clock.monotonic_s() - announced_s + act_s <= _ANNOUNCED_S
+        written = self._own is not None and self._own.acted_ms >= self._acted_ms
+        return written and in_time and self.may_act(act_s)
 
     def take(self, row: StoredRow) -> None:
         """Take in the lease's row from the feed."""
@@ -214,23 +230,24 @@
 
     def _wait_s(self, former: _Holding | None) -> float:
         """Return how long to wait before the first act."""
-        if former is None or _host(former.owner) == _host(self._owner):
+        if former is None or _host(former.owner) == _host(self._owner) or not former.acted_ms:
             return 0.0
-        if former.released:
-            if not former.acted_ms:
-                return 0.0
-            passed_s = (self._store_ms() - former.acted_ms) / 1000
-            return max(0.0, self._act_gap_s + _CLOCK_MARGIN_S - passed_s)
-        return self._act_gap_s + _CLOCK_MARGIN_S
-
-    async def _renew(self) -> None:
+        passed_s = (self._store_ms() - former.acted_ms) / 1000
+        return max(0.0, self._act_gap_s + _CLOCK_MARGIN_S - passed_s)
+
+    async def _renew(self, *, at_once: bool = False) -> None:
+        async with self._writing:
+            await self._renew_once(at_once)
+
+    async def _renew_once(self, at_once: bool) -> None:
         own = self._own
-        assert own is not None
+        if own is None:
+            return
         if self.remaining_s() <= 0:
             self._lose("it could not be renewed in time")
             return
         asked_s, asked_boot_s = self._clock.monotonic_s(), self._boot_s()
-        if asked_s - self._renewed_at_s < _RENEWAL_S:
+        if asked_s - self._renewed_at_s < _RENEWAL_S and not at_once:
             return
         renewed = msgspec.structs.replace(own, beat=own.beat + 1, acted_ms=self._acted_ms)
         try:
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 import structlog
@@ -65,8 +65,8 @@
     def may_act(self, act_s: float) -> bool:
         """Return whether an order that takes up to *act_s* seconds may be given now."""
 
-    def acted(self) -> None:
-        """Note that an order is given."""
+    async def announce(self, act_s: float) -> bool:
+        """Write that orders follow, and return whether they may be given now."""
 
 
 class LoadCounts:
@@ -164,7 +164,10 @@
         while True:
             configuration = self._configuration()
             if configuration is not None and self._right.may_act(_ORDER_TIMEOUT_S):
-                self._look(configuration)
+                planned = self._look(configuration)
+                if planned and await self._right.announce(_ORDER_TIMEOUT_S):
+                    for engine, order in planned:
+                        self._give_order(engine, order)
             try:
                 async with asyncio.timeout(_LOOK_S):
                     await self._wake.wait()
@@ -172,8 +175,10 @@
                 pass
             self._wake.clear()
 
-    def _look(self, configuration: GatewayConfiguration) -> None:
+    def _look(self, configuration: GatewayConfiguration) -> list[tuple[Backend, LoadOrder]]:
+        """Return the orders that should be given now."""
         self._settle()
+        planned: list[tuple[Backend, LoadOrder]] = []
         for service in configuration.services.values():
             if service.engine is None:
                 continue
@@ -181,17 +186,27 @@
             models = {model for engine in engines for model in engine.versions}
             for model in sorted(models & self._newest.keys()):
                 mode = _mode(configuration, service.name)
-                self._plan(model, [e for e in engines if model in e.versions], mode)
-
-    def _plan(self, model: str, engines: Sequence[Backend], mode: SwapMode) -> None:
+                taken = {engine.instance.instance_id for engine, _ in planned}
+                planned += self._plan(
+                    model,
+                    [e for e in engines if model in e.versions],
+                    mode,
+                    taken,
+                )
+        return planned
+
+    def _plan(
+        self, model: str, engines: Sequence[Backend], mode: SwapMode, taken: Collection[str]
+    ) -> list[tuple[Backend, LoadOrder]]:
+        """Return the orders of one model; engines that are *taken* get none."""
         newest = self._newest[model]
         now_s = self._clock.monotonic_s()
-        loads = [self._state(engine, model, now_s) for engine in engines]
+        loads = [self._state(engine, model, now_s, taken) for engine in engines]
         elsewhere = sum(
             pending.model != model
             for engine in engines
             if (pending := self._pending.get(engine.instance.instance_id)) is not None
-        )
+        ) + len(taken)
         lag = max(self._lags.get(model, (1,)))
         plan = plan_loads(
             loads,
@@ -200,9 +215,10 @@
             lag=lag,
             loading_elsewhere=elsewhere,
         )
+        orders: list[tuple[Backend, LoadOrder]] = []
         for load in plan.loads:
             engine = self._directory.get(load.instance_id)
-            if engine is None or not self._right.may_act(_ORDER_TIMEOUT_S):
+            if engine is None:
                 continue
             order = LoadOrder(
                 model=model,
@@ -212,7 +228,7 @@
                 expected_orders=self._orders_of(engine),
             )
             self._log.info(
-                "order_given",
+                "order_planned",
                 server=load.instance_id,
                 model=model,
                 version=newest,
@@ -227,18 +243,21 @@
                 loading_limit=plan.loading_limit,
                 behind=plan.behind,
             )
-            self._pending[load.instance_id] = _Pending(model, newest, now_s, self._load_s)
-            self._right.acted()
-            self._spawn(engine, order)
+            orders.append((engine, order))
+        return orders
 
-    def _state(self, engine: Backend, model: str, now_s: float) -> EngineLoad:
+    def _state(
+        self, engine: Backend, model: str, now_s: float, taken: Collection[str]
+    ) -> EngineLoad:
         name = engine.instance.instance_id
         pending = self._pending.get(name)
         return EngineLoad(
             instance_id=name,
             version=engine.versions.get(model, 0),
             loading=pending is not None and pending.model == model,
-            ready=pending is None and now_s >= self._retry_at_s.get(name, 0.0),
+            ready=(
+                pending is None and name not in taken and now_s >= self._retry_at_s.get(name, 0.0)
+            ),
             outstanding=engine.outstanding,
         )
 
@@ -246,7 +265,10 @@
         instance = engine.instance
         return self._orders.get((instance.instance_id, instance.started_ms), 0)
 
-    def _spawn(self, engine: Backend, order: LoadOrder) -> None:
+    def _give_order(self, engine: Backend, order: LoadOrder) -> None:
+        now_s = self._clock.monotonic_s()
+        name = engine.instance.instance_id
+        self._pending[name] = _Pending(order.model, order.version, now_s, self._load_s)
         task = asyncio.get_running_loop().create_task(self._give(engine, order))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
