Read a run's pace from the median of its gaps, and an engine's version from its own events

Ruled out: the slow engine itself, which had no more moves than the others. Before: the new tests of paces fail (no median); after: pass.

--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from verbenawind.batches.paces import EnginePaces
+from verbenawind.batches.paces import EnginePaces, RunPace
 from verbenawind.batches.types import BatchItem
 from verbenawind.clock import Clock
 from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
@@ -62,11 +62,12 @@
 class HeldText:
     """The events of an item that have arrived, with the weights that made them."""
 
-    __slots__ = ("events", "last_event", "versions")
+    __slots__ = ("events", "last_event", "last_version", "versions")
 
     def __init__(self) -> None:
         self.events: list[str] = []
         self.last_event: int | None = None
+        self.last_version: int | None = None
         self.versions: set[int] = set()
 
     @property
@@ -84,7 +85,7 @@
         """Drop everything that is held."""
         self.events.clear()
         self.versions.clear()
-        self.last_event = None
+        self.last_event = self.last_version = None
 
 
 async def run_item(
@@ -97,7 +98,7 @@
     port: BackendPort,
     clock: Clock,
     paces: EnginePaces,
-    should_move: Callable[[], bool],
+    should_move: Callable[[RunPace], bool],
 ) -> RunOutcome:
     """Run an item until it is whole, or until it should go on at another engine.
 
@@ -176,11 +177,11 @@
     limits: RunLimits,
     clock: Clock,
     paces: EnginePaces,
-    should_move: Callable[[], bool],
+    should_move: Callable[[RunPace], bool],
 ) -> RunOutcome:
     version = answer.version
     silence_s = limits.first_event_s
-    before_s: float | None = None
+    pace = RunPace()
     while True:
         try:
             async with asyncio.timeout(silence_s):
@@ -192,10 +193,9 @@
                 return RunOutcome(end=RunEnd.BROKEN, detail="a stream without events")
             return RunOutcome(end=RunEnd.WHOLE)
         silence_s = limits.stall_s
-        now_s = clock.monotonic_s()
-        if before_s is not None:
-            paces.learn(backend.instance.instance_id, (now_s - before_s) / len(events))
-        before_s = now_s
+        pace.note(clock.monotonic_s(), len(events))
+        if pace.usual_s is not None:
+            paces.learn(backend.instance.instance_id, pace.usual_s)
         for event in events:
             version = version if event.version is None else event.version
             if version is None:
@@ -212,5 +212,6 @@
             held.events.append(event.data)
             held.last_event = event.event_id
             held.versions.add(version)
-        if should_move():
+            held.last_version = version
+        if should_move(pace):
             return RunOutcome(end=RunEnd.SLOW, detail="another engine is faster")
--- a/src/verbenawind/batches/paces.py
+++ b/src/verbenawind/batches/paces.py
@@ -1,18 +1,21 @@
 """How long engines take for an event, learned from the runs of this daemon."""
 
+from collections import deque
 from collections.abc import Collection
+from statistics import median
 
 from verbenawind.clock import Clock
 
-__all__ = ["EnginePaces"]
+__all__ = ["EnginePaces", "RunPace"]
 
 # Weight of the newest event in an engine's moving average.
 _GAIN = 0.25
 # A slow engine that nobody has measured for so long is tried again, with few runs.
 _STALE_S = 2.0
 _TRIAL_RUNS = 2
-# Events of a run before its engine's pace counts as known.
-_MIN_EVENTS = 3
+# Gaps between events that a run's pace is read from.
+_GAPS_KEPT = 5
+_GAPS_NEEDED = 4
 # Another engine must be this much faster for a run to move there.
 _MOVE_FACTOR = 1.8
 
@@ -26,6 +29,30 @@
         self.at_s = 0.0
 
 
+class RunPace:
+    """The usual time between the latest events of one run.
+
+    It is a median, so that one long gap, as when an engine changes its weights, says nothing.
+    """
+
+    __slots__ = ("_before_s", "_gaps_s")
+
+    def __init__(self) -> None:
+        self._before_s: float | None = None
+        self._gaps_s: deque[float] = deque(maxlen=_GAPS_KEPT)
+
+    def note(self, now_s: float, events: int) -> None:
+        """Take in the arrival of some events at once."""
+        if self._before_s is not None and events:
+            self._gaps_s.append((now_s - self._before_s) / events)
+        self._before_s = now_s
+
+    @property
+    def usual_s(self) -> float | None:
+        """The usual time of an event, None until enough have arrived."""
+        return median(self._gaps_s) if len(self._gaps_s) >= _GAPS_NEEDED else None
+
+
 class EnginePaces:
     """Moving averages of the time between events.
 
@@ -40,7 +67,7 @@
         self._paces: dict[str, _Pace] = {}
 
     def learn(self, instance_id: str, gap_s: float) -> None:
-        """Take in the time between two events of one run."""
+        """Take in the usual time between the events of one run."""
         pace = self._paces.setdefault(instance_id, _Pace())
         pace.events += 1
         pace.at_s = self._clock.monotonic_s()
@@ -49,7 +76,7 @@
     def pace_s(self, instance_id: str) -> float:
         """Return an engine's usual time for an event, 0 where it is not known lately."""
         pace = self._paces.get(instance_id)
-        if pace is None or pace.events < _MIN_EVENTS or self._is_stale(pace):
+        if pace is None or self._is_stale(pace):
             return 0.0
         return pace.pace_s
 
@@ -60,13 +87,17 @@
             return slots
         return min(slots, _TRIAL_RUNS) if self._is_slow(instance_id, others) else slots
 
-    def should_move(self, instance_id: str, others: Collection[str]) -> bool:
+    def should_move(self, run: RunPace, others: Collection[str]) -> bool:
         """Return whether one of the *others* is so much faster that a run should move there."""
-        return self.pace_s(instance_id) > 0 and self._is_slow(instance_id, others)
+        own_s = run.usual_s
+        return own_s is not None and self._is_slower(own_s, others)
 
     def _is_slow(self, instance_id: str, others: Collection[str]) -> bool:
-        paces = [pace_s for name in others if (pace_s := self._measured_s(name)) > 0]
-        return bool(paces) and self._measured_s(instance_id) > _MOVE_FACTOR * min(paces)
+        return self._is_slower(self._measured_s(instance_id), others)
+
+    def _is_slower(self, pace_s: float, others: Collection[str]) -> bool:
+        paces = [other_s for name in others if (other_s := self._measured_s(name)) > 0]
+        return bool(paces) and pace_s > _MOVE_FACTOR * min(paces)
 
     def _is_stale(self, pace: _Pace) -> bool:
         return self._clock.monotonic_s() - pace.at_s > _STALE_S
@@ -74,4 +105,4 @@
     def _measured_s(self, instance_id: str) -> float:
         """Return the last pace that was measured, however old, 0 where none was."""
         pace = self._paces.get(instance_id)
-        return pace.pace_s if pace is not None and pace.events >= _MIN_EVENTS else 0.0
+        return pace.pace_s if pace is not None else 0.0
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -14,8 +14,8 @@
 from verbenawind.batches.journal import JobJournal, StoredJob
 from verbenawind.batches.ordering import EngineChoice, EngineState, choose_engine
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
-from verbenawind.batches.paces import EnginePaces
-from verbenawind.batches.types import BatchItem, ItemResult, JobState, ResultState
+from verbenawind.batches.paces import EnginePaces, RunPace
+from verbenawind.batches.types import BatchItem, ItemResult, JobRecord, JobState, ResultState
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.gateway import (
@@ -383,7 +383,7 @@
     ) -> None:
         record = job.stored.record
         started_s = self._clock.monotonic_s()
-        resumed = work.held.last_event
+        resumed, held_before = work.held.last_event, len(work.held.events)
         expect = None
         if choice.probing:
             expect = self._newest_version(record.model)
@@ -408,9 +408,7 @@
                 port=self._port,
                 clock=self._clock,
                 paces=self._paces,
-                should_move=lambda: self._should_move(
-                    backend, others, record.model, record.min_version
-                ),
+                should_move=lambda pace: self._should_move(pace, others, record),
             )
         finally:
             work.task = None
@@ -431,11 +429,10 @@
         )
         self.counts.runs[outcome.end.value] = self.counts.runs.get(outcome.end.value, 0) + 1
         if job.job_id in self.jobs and self.jobs[job.job_id] is job:
-            self._learn(job, work, route, backend, choice, outcome)
+            self._learn(job, work, route, backend, choice, outcome, held_before)
 
-    def _should_move(
-        self, backend: Backend, others: Sequence[str], model: str, min_version: int
-    ) -> bool:
+    def _should_move(self, pace: RunPace, others: Sequence[str], record: JobRecord) -> bool:
+        """Return whether an engine with room for the item is much faster."""
         free = []
         for name in others:
             other = self._directory.get(name)
@@ -444,10 +441,10 @@
                 and not other.suspected
                 and not other.instance.draining
                 and other.outstanding < other.instance.slots
-                and (not model or other.versions.get(model, 0) >= min_version)
+                and (not record.model or other.versions.get(record.model, 0) >= record.min_version)
             ):
                 free.append(name)
-        return self._paces.should_move(backend.instance.instance_id, free)
+        return self._paces.should_move(pace, free)
 
     def _learn(
         self,
@@ -457,15 +454,14 @@
         backend: Backend,
         choice: EngineChoice,
         outcome: RunOutcome,
+        held_before: int,
     ) -> None:
         """Finish an item, or decide what its end at one engine means for the next run."""
         now_s = self._clock.monotonic_s()
         name = backend.instance.instance_id
         model = job.stored.record.model
-        if work.held.versions and model and outcome.end is not RunEnd.TOO_OLD:
-            newest = max(work.held.versions)
-            if outcome.end in (RunEnd.WHOLE, RunEnd.SLOW):
-                backend.learn_version(model, max(newest, backend.versions.get(model, 0)))
+        if len(work.held.events) > held_before and work.held.last_version is not None:
+            backend.learn_version(model, work.held.last_version)
         match outcome.end:
             case RunEnd.WHOLE:
                 backend.succeeded(0.0)
--- /dev/null
+++ b/tests/batches/test_paces.py
@@ -0,0 +1,72 @@
+"""Tests of what an engine's pace is read from, and of when a run moves."""
+
+from datetime import UTC, datetime
+
+import pytest
+
+from verbenawind.batches.paces import EnginePaces, RunPace
+
+
+class SetClock:
+    """A clock that stands where it is set."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(self.now_s, UTC)
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    async def sleep(self, duration_s: float) -> None:
+        self.now_s += duration_s
+
+
+def run_of(gaps_s: list[float]) -> RunPace:
+    """Return the pace of a run whose events came with these gaps."""
+    pace, now_s = RunPace(), 0.0
+    pace.note(now_s, 1)
+    for gap_s in gaps_s:
+        now_s += gap_s
+        pace.note(now_s, 1)
+    return pace
+
+
+class TestRunPace:
+    def test_one_long_gap_says_nothing(self) -> None:
+        """The second in which an engine changes its weights does not make its runs slow."""
+        assert run_of([0.04, 0.04, 0.9, 0.04, 0.04]).usual_s == pytest.approx(0.04)
+
+    def test_steady_long_gaps_are_the_pace(self) -> None:
+        """An engine that has turned slow is seen after a few events."""
+        assert run_of([0.04, 0.04, 0.15, 0.15, 0.15]).usual_s == pytest.approx(0.15)
+
+    def test_few_events_say_nothing(self) -> None:
+        """The first events, among which prompts are read, are no measure."""
+        assert run_of([0.3, 0.2]).usual_s is None
+
+
+class TestMoves:
+    def test_run_moves_to_an_engine_that_is_much_faster(self) -> None:
+        """A run moves from a slow engine, and not for a small difference."""
+        paces = EnginePaces(SetClock())
+        paces.learn("fast", 0.04)
+        assert paces.should_move(run_of([0.15] * 5), ["fast"])
+        assert not paces.should_move(run_of([0.06] * 5), ["fast"])
+        assert not paces.should_move(run_of([0.15] * 5), [])
+
+    def test_slow_engine_is_tried_again_with_few_runs(self) -> None:
+        """Once its measurement is old, a slow engine gets two runs, and all when they do well."""
+        clock = SetClock()
+        paces = EnginePaces(clock)
+        paces.learn("fast", 0.04)
+        paces.learn("slow", 0.15)
+        assert paces.pace_s("slow") == pytest.approx(0.15)
+        clock.now_s = 3.0
+        paces.learn("fast", 0.04)
+        assert paces.pace_s("slow") == 0.0
+        assert paces.room("slow", 16, ["fast", "slow"]) == 2
+        for _ in range(12):
+            paces.learn("slow", 0.04)
+        assert paces.room("slow", 16, ["fast", "slow"]) == 16
