Compare and write a job's tail in every listing; list once at a stop

Rows are named by their last position, so two rows can overlap without a conflict. Ruled out: takeovers by others (the log shows one host conflicting with itself 0 ms after its SIGTERM). Change: the hand-over waits for the transaction under way; and every transaction that lists results now compares and writes one row with their number, so that no two can fill the same positions whatever runs. Before: the new test finds items listed twice; after: passes.

--- a/src/verbenawind/batches/journal.py
+++ b/src/verbenawind/batches/journal.py
@@ -16,11 +16,13 @@
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowCheck, RowId, RowStore, RowTransaction, RowWrite
 
-__all__ = ["JOBS_TABLE", "JobJournal", "StoredJob", "decode_job"]
+__all__ = ["JOBS_TABLE", "JobJournal", "StoredJob", "Tail", "decode_job"]
 
 JOBS_TABLE = "batch-jobs"
 _RESULTS_TABLE = "batch-results"
+_TAILS_TABLE = "batch-tails"
 _JOB_KEY = "job"
+_TAIL_KEY = "tail"
 _POSITION_DIGITS = 8
 # Part of a row that results may fill; the rest is for the encoding.
 _ROW_FILL = 0.9
@@ -37,6 +39,17 @@
     version: int
 
 
+class Tail(Value, frozen=True, kw_only=True):
+    """How many results are listed, and the version of the row that says so.
+
+    Every transaction that lists results compares and writes this row, so that no two of them can
+    fill the same positions.
+    """
+
+    listed: int = 0
+    version: int = 0
+
+
 class _StoredResult(Value, frozen=True, kw_only=True, array_like=True):
     """A result in its row; a text too large for a row is an object of its own."""
 
@@ -132,18 +145,29 @@
                 continue
         raise StoreUnavailable(f"job {job_id} changes too often to be ended", effect_possible=False)
 
+    async def tail(self, job_id: str, timeout_s: float) -> Tail:
+        """Return how many results of a job are listed."""
+        page = await self._store.rows(_TAILS_TABLE, job_id, timeout_s)
+        for row in page.rows:
+            if row.value is not None:
+                return Tail(listed=int(row.value), version=row.version)
+        return Tail()
+
     async def append(
-        self, job: StoredJob, position: int, results: Sequence[ItemResult], timeout_s: float
-    ) -> int:
-        """List results from a position on and return how many were listed.
+        self, job: StoredJob, tail: Tail, results: Sequence[ItemResult], timeout_s: float
+    ) -> Tail:
+        """List results after those that are listed and return the new tail.
 
         Fewer than were given are listed where they don't fit one transaction.
 
         Raises:
-            RowConflict: The job has another owner, or has ended.
+            RowConflict: The job has another owner, has ended, or has other results by now.
         """
         job_id = job.record.job_id
-        checks = [RowCheck(row_id=_job_row(job_id), version=job.version)]
+        checks = [
+            RowCheck(row_id=_job_row(job_id), version=job.version),
+            RowCheck(row_id=_tail_row(job_id), version=tail.version),
+        ]
         writes: list[RowWrite] = []
         listed = size_bytes = 0
         while listed < len(results) and len(writes) < _MAX_TRANSACTION_ROWS:
@@ -152,13 +176,15 @@
                 break
             listed += count
             size_bytes += len(row)
-            row_id = _result_row(job_id, position + listed - 1)
+            row_id = _result_row(job_id, tail.listed + listed - 1)
             checks.append(RowCheck(row_id=row_id, version=0))
             writes.append(RowWrite(row_id=row_id, value=row))
-        await self._store.commit(
+        total = tail.listed + listed
+        writes.append(RowWrite(row_id=_tail_row(job_id), value=str(total).encode()))
+        version = await self._store.commit(
             RowTransaction(checks=tuple(checks), writes=tuple(writes)), timeout_s
         )
-        return listed
+        return Tail(listed=total, version=version)
 
     async def results(
         self, job_id: str, after: int, timeout_s: float, *, limit: int = 100
@@ -250,6 +276,10 @@
     return RowId(table=JOBS_TABLE, part=job_id, key=_JOB_KEY)
 
 
+def _tail_row(job_id: str) -> RowId:
+    return RowId(table=_TAILS_TABLE, part=job_id, key=_TAIL_KEY)
+
+
 def _result_row(job_id: str, last_position: int) -> RowId:
     """Rows are named by their last position, so that a read from any position finds its row."""
     return RowId(table=_RESULTS_TABLE, part=job_id, key=_position_key(last_position))
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Sequence
 
 from verbenawind.batches.item_run import HeldText
-from verbenawind.batches.journal import StoredJob
+from verbenawind.batches.journal import StoredJob, Tail
 from verbenawind.batches.ordering import Rank, rank_items
 from verbenawind.batches.types import BatchItem, BatchSubmission, ItemResult
 
@@ -33,6 +33,7 @@
         stored: The job's row under this owner.
         submission: The job as it was submitted.
         listed: Ids of the items that are listed, in order.
+        tail: Where the next results go.
         held: Text of unfinished items from earlier jobs or owners, by item.
         returning_groups: Groups that an earlier job left unfinished.
     """
@@ -41,9 +42,9 @@
         "committing",
         "finished",
         "finished_since_s",
-        "position",
         "stored",
         "submission",
+        "tail",
         "work",
     )
 
@@ -53,6 +54,7 @@
         submission: BatchSubmission,
         *,
         listed: Sequence[str] = (),
+        tail: Tail | None = None,
         held: dict[str, HeldText] | None = None,
         returning_groups: Collection[str] = (),
     ) -> None:
@@ -61,7 +63,7 @@
         texts = held or {}
         self.stored = stored
         self.submission = submission
-        self.position = len(listed)
+        self.tail = tail or Tail()
         self.finished: list[ItemResult] = []
         self.finished_since_s = 0.0
         self.committing: asyncio.Task[None] | None = None
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -11,7 +11,7 @@
 
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.item_run import HeldText, RunEnd, RunLimits, RunOutcome, run_item
-from verbenawind.batches.journal import JobJournal, StoredJob
+from verbenawind.batches.journal import JobJournal, StoredJob, Tail
 from verbenawind.batches.ordering import EngineChoice, EngineState, choose_engine
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.batches.paces import EnginePaces, RunPace
@@ -168,7 +168,8 @@
             while True:
                 try:
                     submission = await self._journal.submission(job_id, _READ_TIMEOUT_S)
-                    listed = [] if fresh else await self._listed(job_id)
+                    tail = Tail() if fresh else await self._journal.tail(job_id, _READ_TIMEOUT_S)
+                    listed = await self._listed(job_id, tail.listed)
                     break
                 except StoreUnavailable as error:
                     self._log.warning("job_not_loaded", job_id=job_id, reason=error.message)
@@ -185,6 +186,7 @@
             stored,
             submission,
             listed=listed,
+            tail=tail,
             held=self._held_texts(submission.items, record.min_version),
             returning_groups=groups & self._unfinished_groups.keys(),
         )
@@ -202,9 +204,15 @@
         )
         self._wake.set()
 
-    async def _listed(self, job_id: str) -> list[str]:
+    async def _listed(self, job_id: str, count: int) -> list[str]:
+        """Return the ids of the listed items, in order."""
         listed: list[str] = []
-        while found := await self._journal.results(job_id, len(listed), _READ_TIMEOUT_S):
+        while len(listed) < count:
+            found = await self._journal.results(job_id, len(listed), _READ_TIMEOUT_S)
+            if not found:
+                raise StoreUnavailable(
+                    f"job {job_id} has {len(listed)} of {count} results", effect_possible=False
+                )
             listed += [result.item_id for result in found]
         return listed
 
@@ -236,7 +244,7 @@
             job_id=job.job_id,
             epoch=job.stored.record.epoch,
             reason=reason,
-            listed=job.position,
+            listed=job.tail.listed,
             unlisted=len(job.finished),
             unfinished=len(job.work),
             age_s=round((self._store_ms() - job.stored.record.submitted_ms) / 1000, 3),
@@ -252,8 +260,10 @@
         job.cancel()
 
     async def _hand_over(self, job: OwnedJob) -> None:
-        while job.finished and job.job_id in self.jobs:
-            await self._commit(job)
+        while job.job_id in self.jobs and (job.finished or job.committing is not None):
+            if job.committing is None:
+                job.committing = self._spawn(self._commit(job))
+            await asyncio.wait({job.committing})
         if job.job_id not in self.jobs:
             return
         free = msgspec.structs.replace(job.stored.record, owner="")
@@ -514,6 +524,8 @@
     # Results.
 
     def _list_results(self) -> None:
+        if self.stopping:
+            return
         now_s = self._clock.monotonic_s()
         for job in list(self.jobs.values()):
             if job.committing is not None or not (job.finished or not job.work):
@@ -531,8 +543,8 @@
                 return
             while True:
                 try:
-                    listed = await self._journal.append(
-                        job.stored, job.position, batch, _COMMIT_TIMEOUT_S
+                    tail = await self._journal.append(
+                        job.stored, job.tail, batch, _COMMIT_TIMEOUT_S
                     )
                     break
                 except StoreUnavailable as error:
@@ -540,15 +552,16 @@
                         "results_not_listed",
                         job_id=job.job_id,
                         results=len(batch),
-                        position=job.position,
+                        position=job.tail.listed,
                         reason=error.message,
                     )
                     await self._clock.sleep(_RETRY_S)
+            listed = tail.listed - job.tail.listed
+            job.tail = tail
             del job.finished[:listed]
-            job.position += listed
             self.counts.listed += listed
             self._log.info(
-                "results_listed", job_id=job.job_id, results=listed, position=job.position
+                "results_listed", job_id=job.job_id, results=listed, position=tail.listed
             )
         except RowConflict as conflict:
             await self._resolve(job, conflict)
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from verbenawind.batches import BatchItem, BatchSubmission, ItemResult
+from verbenawind.batches import JOBS_TABLE, BatchItem, BatchSubmission, ItemResult, JobRecord
 from verbenawind.clock import LoopClock
 from verbenawind.gateway import (
     EngineTraits,
@@ -199,6 +199,18 @@
         """Submit a job at a host."""
         await member.node.jobs.submit(submission, self.clock.monotonic_s() + 5.0)
 
+    async def owner_of(self, job_id: str) -> str:
+        """Return the host that runs a job, once there is one."""
+
+        def owner() -> str:
+            row = self.store.row(RowId(table=JOBS_TABLE, part=job_id, key="job"))
+            if row is None or row.value is None:
+                return ""
+            return msgspec.json.decode(row.value, type=JobRecord).owner.partition("#")[0]
+
+        await self.until(owner)
+        return owner()
+
     async def results(self, member: Member, job_id: str) -> list[ItemResult]:
         """Read all listed results of a job at a host."""
         found: list[ItemResult] = []
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -254,7 +254,8 @@
             await fleet.clock.sleep(1.0)
             listed = await fleet.results(second, submission.job_id)
             assert listed
-            fleet.kill(first.name)
+            fleet.kill(await fleet.owner_of(submission.job_id))
+            second = next(iter(fleet.members.values()))
             began_s = fleet.clock.monotonic_s()
             results = await fleet.collect(second, submission)
             check_whole(submission, results)
@@ -272,8 +273,10 @@
             submission = job(groups=4, events=50)
             await fleet.submit(first, submission)
             await fleet.clock.sleep(0.5)
-            await first.node.hand_over()
-            owner = first.node.runner.owner
+            leaving = fleet.members[await fleet.owner_of(submission.job_id)]
+            second = next(m for m in fleet.members.values() if m is not leaving)
+            await leaving.node.hand_over()
+            owner = leaving.node.runner.owner
             took_s = await fleet.until(
                 lambda: second.node.book.get(submission.job_id).record.owner not in ("", owner)  # type: ignore[union-attr]
             )
@@ -287,10 +290,12 @@
 
         async def work(fleet: Fleet) -> None:
             await fleet.start(hosts=3)
-            first, second, _ = fleet.members.values()
+            first, *_ = fleet.members.values()
             submission = job(groups=4, events=40)
             await fleet.submit(first, submission)
             await fleet.clock.sleep(0.3)
+            first = fleet.members[await fleet.owner_of(submission.job_id)]
+            second = next(m for m in fleet.members.values() if m is not first)
             first.view.cut = True
             results = await fleet.collect(second, submission)
             first.view.cut = False
@@ -414,6 +419,28 @@
 
 
 class TestStoppingHost:
+    def test_results_that_are_being_listed_at_the_stop_are_listed_once(self) -> None:
+        """A stop in the middle of listing results lists none of them at two positions."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=3, engines=4)
+            first, second, _ = fleet.members.values()
+            submission = job(groups=8, events=(4, 6, 9, 12, 15, 18, 21, 24))
+            await fleet.submit(first, submission)
+            owner = fleet.members[await fleet.owner_of(submission.job_id)]
+            runner = owner.node.runner
+            fleet.store.faults.slow_s = 0.2
+            # A transaction is under way, and more items have ended since it began.
+            await fleet.until(
+                lambda: any(j.committing and len(j.finished) > 8 for j in runner.jobs.values())
+            )
+            await owner.node.hand_over()
+            fleet.store.faults.slow_s = 0.0
+            other = second if owner is not second else first
+            check_whole(submission, await fleet.collect(other, submission))
+
+        run_fleet(work)
+
     def test_job_accepted_while_stopping_is_run_by_another(self) -> None:
         """A job that reaches a host which is about to end belongs to nobody until one claims it."""
 
