Share a pool's engines out between many models

Change: with m models and jobs that accept l versions back, a model is kept current on (l + 1) / m of the engines, by rendezvous hashing; with one or two models that is all of them.

--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -72,6 +72,7 @@
         port: Sends to engines.
         routes: The routes in force, None while there are none.
         newest_version: The newest named version of a model.
+        current_engines: The engines of a service that are kept current for a model.
         store_ms: The store's clock.
         clock: Time source.
     """
@@ -86,6 +87,7 @@
         port: BackendPort,
         routes: Callable[[], RouteTable | None],
         newest_version: Callable[[str], int],
+        current_engines: Callable[[str, str], frozenset[str]],
         store_ms: Callable[[], int],
         clock: Clock,
     ) -> None:
@@ -96,6 +98,7 @@
         self._port = port
         self._routes = routes
         self._newest_version = newest_version
+        self._current_engines = current_engines
         self._store_ms = store_ms
         self._clock = clock
         self.jobs: dict[str, OwnedJob] = {}
@@ -319,7 +322,8 @@
         }
         if route.single_version:
             backends = self._of_one_version(backends, record.model, work)
-        choice = self._choose(list(backends.values()), job, work, now_s)
+        current = self._current_engines(record.model, service) if record.model else frozenset()
+        choice = self._choose(list(backends.values()), job, work, now_s, current)
         if choice is None:
             return False
         backend = backends[choice.instance_id]
@@ -351,7 +355,12 @@
         return backends
 
     def _choose(
-        self, backends: Sequence[Backend], job: OwnedJob, work: ItemWork, now_s: float
+        self,
+        backends: Sequence[Backend],
+        job: OwnedJob,
+        work: ItemWork,
+        now_s: float,
+        current: frozenset[str],
     ) -> EngineChoice | None:
         record = job.stored.record
         names = [backend.instance.instance_id for backend in backends]
@@ -370,7 +379,8 @@
         probes = [
             state.instance_id
             for state in states
-            if self._newest_version(record.model) >= record.min_version
+            if state.instance_id in current
+            and self._newest_version(record.model) >= record.min_version
             and now_s - self._probed_at_s.get((state.instance_id, record.model), 0.0) > _PROBE_S
         ]
         excluded = work.excluded if len(work.excluded) < len(backends) else set()
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -155,6 +155,7 @@
             port=backends,
             routes=lambda: self.routes,
             newest_version=lambda model: self.newest.get(model, 1),
+            current_engines=lambda model, service: self.desk.engines_of(model, service),
             store_ms=store_ms,
             clock=clock,
         )
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -16,6 +16,7 @@
     OrderAnswer,
     OrderReply,
     SwapMode,
+    engines_of_model,
     plan_loads,
 )
 
@@ -184,17 +185,24 @@
                 continue
             engines = self._directory.backends(service.name)
             models = {model for engine in engines for model in engine.versions}
+            mode = _mode(configuration, service.name)
             for model in sorted(models & self._newest.keys()):
-                mode = _mode(configuration, service.name)
+                current = self.engines_of(model, service.name)
+                followers = [e for e in engines if e.instance.instance_id in current]
                 taken = {engine.instance.instance_id for engine, _ in planned}
-                planned += self._plan(
-                    model,
-                    [e for e in engines if model in e.versions],
-                    mode,
-                    taken,
-                )
+                planned += self._plan(model, followers, mode, taken)
         return planned
 
+    def engines_of(self, model: str, service: str) -> frozenset[str]:
+        """Return the engines of a service that are kept current for a model."""
+        engines = self._directory.backends(service)
+        serving = [e.instance.instance_id for e in engines if model in e.versions]
+        named = {name for engine in engines for name in engine.versions} & self._newest.keys()
+        return engines_of_model(model, serving, models=len(named), lag=self._lag(model))
+
+    def _lag(self, model: str) -> int:
+        return max(self._lags.get(model, (1,)))
+
     def _plan(
         self, model: str, engines: Sequence[Backend], mode: SwapMode, taken: Collection[str]
     ) -> list[tuple[Backend, LoadOrder]]:
@@ -207,7 +215,7 @@
             for engine in engines
             if (pending := self._pending.get(engine.instance.instance_id)) is not None
         ) + len(taken)
-        lag = max(self._lags.get(model, (1,)))
+        lag = self._lag(model)
         plan = plan_loads(
             loads,
             newest=newest,
--- a/src/verbenawind/weights/rolling.py
+++ b/src/verbenawind/weights/rolling.py
@@ -5,10 +5,12 @@
 take turns.
 """
 
+import math
 from collections.abc import Sequence
 from enum import StrEnum
 
 from verbenawind.kernel.messages import Value
+from verbenawind.kernel.rendezvous import top
 
 __all__ = [
     "EngineLoad",
@@ -18,6 +20,7 @@
     "OrderReply",
     "PlannedLoad",
     "SwapMode",
+    "engines_of_model",
     "plan_loads",
 ]
 
@@ -91,6 +94,24 @@
     loading_limit: int
 
 
+def engines_of_model(
+    model: str, engines: Sequence[str], *, models: int, lag: int
+) -> frozenset[str]:
+    """Return the engines that are kept current for a model.
+
+    With many models on one pool not every engine follows each of them: an engine that is loaded
+    at every ``lag + 1``-th version may follow that many models at the cost of one load a version.
+
+    Args:
+        model: The model.
+        engines: Every engine that serves it.
+        models: How many models the pool's trainers name versions of.
+        lag: How many versions behind the newest batch jobs usually accept.
+    """
+    count = math.ceil(len(engines) * (lag + 1) / max(1, models))
+    return frozenset(top(model, engines, count))
+
+
 def plan_loads(
     engines: Sequence[EngineLoad],
     *,
