Test the platform's side over real sockets; read a body that is too large before refusing it

Cause: a refusal of a large body closed a connection on which the caller still sent, so that it got a reset instead of the 413 (new test in tests/on_platform; failed with ConnectionResetError, passes now).

--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -148,6 +148,13 @@
         self.node.kill()
         self._log.info("stopped", took_s=round(self._clock.monotonic_s() - started_s, 2))
 
+    async def kill(self) -> None:
+        """Die at once, as a crash would."""
+        self.node.kill()
+        for server in self._servers:
+            await server.kill()
+        await self._transport.aclose()
+
     # HTTP besides the callers'.
 
     def _server(
--- a/src/verbenawind/platform/front.py
+++ b/src/verbenawind/platform/front.py
@@ -74,6 +74,8 @@
 _SUBMIT_FRACTION = 0.4
 _DEFAULT_SUBMIT_S = 5.0
 _MAX_READ_WAIT_S = 1.0
+# A body that is too large is read and dropped up to this multiple of the limit.
+_DISCARD_FACTOR = 4
 _RETRY_S = 0.3
 _UNINFORMED_RETRY_S = 0.5
 # Answers leave so long before the caller's own deadline.
@@ -152,11 +154,15 @@
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise CallerDisconnected("the caller left before its request was whole")
-            parts.append(message.get("body", b""))
-            size_bytes += len(parts[-1])
-            if size_bytes > max_bytes:
+            data = message.get("body", b"")
+            size_bytes += len(data)
+            if size_bytes <= max_bytes:
+                parts.append(data)
+            ended = not message.get("more_body", False)
+            # A caller that still sends when its connection closes may never see the answer.
+            if size_bytes > max_bytes and (ended or size_bytes > _DISCARD_FACTOR * max_bytes):
                 raise TooLarge(f"a body may have {max_bytes} bytes")
-            if not message.get("more_body", False):
+            if ended:
                 return b"".join(parts)
 
     async def gone(self) -> None:
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -96,6 +96,10 @@
         self.via: RelayClient | None = None
         self.calls: dict[str, int] = {}
 
+    def redirect(self, address: str) -> None:
+        """Make direct calls to another address from now on."""
+        self._address = address
+
     def store_ms(self) -> int:
         """Return the store's clock, as far as its last answer tells."""
         return self._store_ms + int((self._clock.monotonic_s() - self._store_ms_at_s) * 1000)
--- /dev/null
+++ b/tests/on_platform/scene.py
@@ -0,0 +1,238 @@
+"""A daemon on the platform over loopback: store, servers, configuration, and raw callers."""
+
+import asyncio
+import base64
+import json
+import socket
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+from on_platform.wire import WireServer, WireStore
+from verbenawind.clock import SystemClock
+from verbenawind.kernel.messages import Location
+from verbenawind.platform.daemon import PlatformDaemon
+from verbenawind.platform.settings import HostSettings
+
+HOST = "rollouts.example"
+MODEL = "tuner"
+_READY_TRIES = 500
+
+
+def free_address() -> str:
+    """Return a loopback address with a free port."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Response:
+    """What a caller got; ``whole`` is whether the body had the length that it claims."""
+
+    def __init__(self, raw: bytes) -> None:
+        head, _, body = raw.partition(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        self.status = int(first.split()[1]) if first else 0
+        self.headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines)
+        }
+        self.body = _unchunked(body) if "transfer-encoding" in self.headers else body
+
+
+def _unchunked(body: bytes) -> bytes:
+    data = b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        length = int(size, 16)
+        data += body[:length]
+        body = body[length + 2 :]
+    return data
+
+
+class Scene:
+    """One daemon, a store, an engine pool and a plain service."""
+
+    def __init__(self) -> None:
+        self.store = WireStore()
+        self.engines = [WireServer("e0"), WireServer("e1")]
+        self.plain = [WireServer("p0"), WireServer("p1")]
+        self.daemons: list[PlatformDaemon] = []
+
+    async def start(self, daemons: int = 1) -> None:
+        """Start everything and wait until the daemons are ready."""
+        for served in (self.store, *self.engines, *self.plain):
+            await served.start()
+        for servers, service in ((self.engines, "engines"), (self.plain, "plain")):
+            for server in servers:
+                self.register(server, service)
+        self.configure()
+        for index in range(daemons):
+            await self.add_daemon(f"host-{index}")
+
+    async def add_daemon(self, name: str) -> PlatformDaemon:
+        """Start a daemon and wait until it is ready."""
+        daemon = PlatformDaemon(
+            HostSettings(
+                host_name=name,
+                location=Location(zone="a", region="a"),
+                callers_address=free_address(),
+                ready_address=free_address(),
+                peer_address=free_address(),
+                metrics_address=free_address(),
+                store_address=self.store.address,
+                max_row_bytes=65536,
+                max_object_bytes=1 << 20,
+                region_of_zone={"a": "a"},
+                order_gap_s=3.0,
+                stop_grace_s=8.0,
+            ),
+            SystemClock(),
+            Random(1),
+        )
+        self.daemons.append(daemon)
+        await daemon.start()
+        await self.until(lambda: daemon.node.ready)
+        return daemon
+
+    @staticmethod
+    async def until(condition: Callable[[], Any]) -> None:
+        """Wait until a condition holds."""
+        for _ in range(_READY_TRIES):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the condition never held")
+
+    def register(self, server: WireServer, service: str, **changes: Any) -> None:
+        """Write a server's entry."""
+        entry = {
+            "service": service,
+            "address": server.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "born": 1,
+            "seq": 1,
+        }
+        if service == "engines":
+            entry["models"] = [{"name": MODEL, "version": server.version, "adapters": []}]
+        self.store.put("servers", server.instance_id, entry | changes)
+
+    def configure(self, version: int = 1, **limits: int) -> None:
+        """Write a configuration with a plain, a once-only, a streaming and a batch route."""
+        common = {"host": HOST, "timeout-ms": 3000, "target-latency-ms": 400, "max-attempts": 2}
+        routes = [
+            {"name": "plain", "path-prefix": "/plain/", "kind": "idempotent", "service": "plain"},
+            {"name": "once", "path-prefix": "/once/", "kind": "non_idempotent", "service": "plain"},
+            {
+                "name": "stream",
+                "path-prefix": "/stream/",
+                "kind": "streaming",
+                "service": "engines",
+                "resumable": True,
+            },
+            {
+                "name": "batch",
+                "path-prefix": "/batch/",
+                "kind": "rollout",
+                "service": "engines",
+                "result-deadline-ms": 7500,
+                "retention-s": 40.0,
+            },
+        ]
+        configuration = {
+            "version": version,
+            "routes": [common | route for route in routes],
+            "services": [
+                {"name": "plain", "max-connections": 50},
+                {
+                    "name": "engines",
+                    "max-connections": 50,
+                    "engine": {"slots": 4, "models": [{"name": MODEL}]},
+                },
+            ],
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 100_000,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 15000,
+            }
+            | limits,
+        }
+        self.store.put("op", "config", configuration)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        daemon: int = 0,
+        request_id: str = "r1",
+        host: str = HOST,
+        **headers: str,
+    ) -> Response:
+        """Send one request on a connection of its own."""
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", "Connection: close"]
+        lines.append(f"X-Verbenawind-Attempt-Id: {request_id}")
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return await self.raw("\r\n".join([*lines, "\r\n"]).encode() + body, daemon=daemon)
+
+    async def raw(self, data: bytes, *, daemon: int = 0, address: str = "") -> Response:
+        """Send bytes and return what comes until the connection closes."""
+        where = address or self.daemons[daemon].settings.callers_address
+        host, _, port = where.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        raw = await reader.read()
+        writer.close()
+        return Response(raw)
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for daemon in self.daemons:
+            await daemon.kill()
+        for served in (self.store, *self.engines, *self.plain):
+            await served.stop()
+
+
+def submission(items: int = 4, events: int = 3, *, size: int = 2) -> bytes:
+    """Return a job's body."""
+    return json.dumps(
+        {
+            "step": 1,
+            "model": MODEL,
+            "min-version": 1,
+            "desired-count": items // size,
+            "items": [
+                {
+                    "id": f"i{index}",
+                    "path": f"/batch/1/{index}",
+                    "headers": {"X-Verbenawind-Model-Name": MODEL},
+                    "body": base64.b64encode(str(events).encode()).decode(),
+                    "tokens": 100,
+                    "group": f"g{index // size}",
+                }
+                for index in range(items)
+            ],
+        }
+    ).encode()
+
+
+def run_scene(work: Callable[[Scene], Awaitable[None]], *, daemons: int = 1) -> None:
+    """Run *work* with a scene that is ready."""
+
+    async def whole() -> None:
+        scene = Scene()
+        try:
+            await scene.start(daemons)
+            await work(scene)
+        finally:
+            await scene.stop()
+
+    asyncio.run(whole())
--- /dev/null
+++ b/tests/on_platform/test_front.py
@@ -0,0 +1,286 @@
+"""Tests of the callers' interface on the platform, over real sockets."""
+
+import asyncio
+import json
+
+from on_platform.scene import HOST, Scene, run_scene, submission
+
+
+class TestPlainRequests:
+    def test_request_and_answer_pass_unchanged(self) -> None:
+        """Method, target, body and headers reach the server; its answer comes back as it was."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.call(
+                "POST",
+                "/plain/a%20b?x=1&y",
+                b"die 7",
+                X_Kept="yes",
+                X_Verbenawind_Deadline_Ms="900",
+            )
+            assert response.status == 200 and response.body == b"echo die 7"
+            assert response.headers["x-verbenawind-server-stamp"].startswith("stamp-p")
+            assert response.headers["x-own"] == "kept"
+            (seen,) = [seen for server in scene.plain for seen in server.seen]
+            method, target, headers, body = seen
+            assert (method, target, body) == ("POST", "/plain/a%20b?x=1&y", b"die 7")
+            assert headers["x-kept"] == "yes" and headers["host"] == HOST
+            assert headers["x-verbenawind-attempt-id"] == "r1"
+            assert 0 < int(headers["x-verbenawind-deadline-ms"]) <= 900
+
+        run_scene(work)
+
+    def test_unknown_routes_are_not_found(self) -> None:
+        """A host or a path without a route is answered 404."""
+
+        async def work(scene: Scene) -> None:
+            assert (await scene.call("GET", "/nothing/x")).status == 404
+            assert (await scene.call("GET", "/plain/x", host="other.example")).status == 404
+
+        run_scene(work)
+
+    def test_refused_request_goes_to_another_server(self) -> None:
+        """A server that says it did not run the request is not the last word."""
+
+        async def work(scene: Scene) -> None:
+            scene.plain[0].refusing = True
+            for index in range(4):
+                response = await scene.call("POST", "/once/x", b"b", request_id=f"r{index}")
+                assert response.status == 200
+
+        run_scene(work)
+
+    def test_request_that_nobody_ran_is_refused_with_a_time(self) -> None:
+        """When every server refuses, the caller is told that nothing ran and when to return."""
+
+        async def work(scene: Scene) -> None:
+            for server in scene.plain:
+                server.refusing = True
+            response = await scene.call("POST", "/once/x", b"b")
+            assert response.status == 503 and float(response.headers["retry-after"]) > 0
+
+        run_scene(work)
+
+    def test_lost_answer_is_repeated_only_where_it_may(self) -> None:
+        """After a lost answer an idempotent request runs again, another one promises nothing."""
+
+        async def work(scene: Scene) -> None:
+            for server in scene.plain:
+                server.drop_next = 1
+            assert (await scene.call("POST", "/once/x", b"b", request_id="o")).status == 502
+            assert (await scene.call("POST", "/plain/x", b"b", request_id="p")).status == 200
+            once = [s for server in scene.plain for s in server.seen if s[1] == "/once/x"]
+            assert len(once) == 1
+
+        run_scene(work)
+
+    def test_former_server_s_address_is_not_used(self) -> None:
+        """A server that took over an address refuses, and the request runs elsewhere."""
+
+        async def work(scene: Scene) -> None:
+            scene.plain[0].instance_id = "somebody-else"
+            for index in range(4):
+                response = await scene.call("POST", "/once/x", b"b", request_id=f"r{index}")
+                assert response.status == 200
+            assert not scene.plain[0].seen
+
+        run_scene(work)
+
+
+class TestBadInput:
+    def test_two_lengths_are_refused(self) -> None:
+        """A request with a length and chunks is answered 400, and its connection closed."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.raw(
+                b"POST /plain/x HTTP/1.1\r\nHost: rollouts.example\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\nX-Verbenawind-Attempt-Id: r\r\n\r\n0\r\n\r\n"
+            )
+            assert response.status == 400
+            assert not any(server.seen for server in scene.plain)
+
+        run_scene(work)
+
+    def test_large_head_is_refused(self) -> None:
+        """Headers beyond the limit, and beyond what is read at all, are answered 431."""
+
+        async def work(scene: Scene) -> None:
+            for size in (20_000, 400_000):
+                response = await scene.call("GET", "/plain/x", X_Large="a" * size)
+                assert response.status == 431
+
+        run_scene(work)
+
+    def test_large_body_is_refused(self) -> None:
+        """A body beyond the configuration's limit is answered 413."""
+
+        async def work(scene: Scene) -> None:
+            assert (await scene.call("POST", "/plain/x", b"a" * 200_000)).status == 413
+
+        run_scene(work)
+
+    def test_request_without_id_is_refused(self) -> None:
+        """A proper route without the id of the attempt is a bad request."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.raw(
+                b"GET /plain/x HTTP/1.1\r\nHost: rollouts.example\r\nConnection: close\r\n\r\n"
+            )
+            assert response.status == 400
+
+        run_scene(work)
+
+
+class TestStreams:
+    def test_events_pass_and_end(self) -> None:
+        """A stream arrives event by event with its first server's headers."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.call(
+                "POST", "/stream/x", b"3", request_id="s", X_Verbenawind_Model_Name="tuner"
+            )
+            assert response.status == 200
+            assert response.body == b"".join(
+                f"id: {n}\ndata: s.{n}\n\n".encode() for n in (1, 2, 3)
+            )
+
+        run_scene(work)
+
+    def test_caller_resumes(self) -> None:
+        """A caller that asks for the rest of a stream gets the rest."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.call(
+                "POST",
+                "/stream/x",
+                b"3",
+                request_id="s",
+                X_Verbenawind_Model_Name="tuner",
+                Last_Event_Id="2",
+            )
+            assert response.body == b"id: 3\ndata: s.3\n\n"
+
+        run_scene(work)
+
+
+class TestJobs:
+    def test_job_from_submission_to_end(self) -> None:
+        """A job is accepted, listed, read from any daemon, gives bodies back, and ends."""
+
+        async def work(scene: Scene) -> None:
+            assert (
+                await scene.call("POST", "/batch/j", submission(), request_id="j")
+            ).status == 202
+            again = await scene.call("POST", "/batch/j", submission(), request_id="j", daemon=1)
+            assert again.status == 202
+            results: list[dict[str, object]] = []
+            for _ in range(50):
+                response = await scene.call(
+                    "GET",
+                    f"/api/lots/j?after={len(results)}",
+                    daemon=1,
+                    X_Verbenawind_Wait_Ms="900",
+                )
+                page = json.loads(response.body)
+                assert page["total"] == 4 and page["next"] == len(results) + len(page["results"])
+                results += page["results"]
+                if len(results) == 4:
+                    break
+            assert sorted(str(result["id"]) for result in results) == ["i0", "i1", "i2", "i3"]
+            for result in results:
+                assert result["state"] == "completed" and result["versions"] == [1]
+                assert result["text"] == "\n".join(f"{result['id']}.{n}" for n in (1, 2, 3))
+            body = await scene.call("GET", "/api/items/j?id=i2", daemon=1)
+            assert (body.status, body.body) == (200, b"3")
+            for daemon in (0, 1):
+                assert (await scene.call("DELETE", "/api/lots/j", daemon=daemon)).status == 200
+            assert (await scene.call("GET", "/api/lots/other")).status == 404
+
+        run_scene(work, daemons=2)
+
+    def test_malformed_job_is_refused(self) -> None:
+        """A body that is no job is a bad request."""
+
+        async def work(scene: Scene) -> None:
+            for body in (b"{", b'{"items": 3}', b'{"items": [{"id": "a"}]}'):
+                response = await scene.call("POST", "/batch/j", body, request_id="j")
+                assert response.status == 400
+
+        run_scene(work)
+
+    def test_store_that_loses_the_answer_has_the_job_once(self) -> None:
+        """A submission whose answer the store lost is accepted, and run once."""
+
+        async def work(scene: Scene) -> None:
+            scene.store.drop_next = 2
+            assert (
+                await scene.call("POST", "/batch/j", submission(), request_id="j")
+            ).status == 202
+            await scene.until(lambda: sum(len(engine.seen) for engine in scene.engines) == 4)
+
+        run_scene(work)
+
+
+class TestOperation:
+    def test_ready_only_with_a_configuration(self) -> None:
+        """A daemon is ready once it knows the configuration, and unready when it is to end."""
+
+        async def work(scene: Scene) -> None:
+            daemon = scene.daemons[0]
+            get = b"GET /api/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            assert (await scene.raw(get, address=daemon.settings.ready_address)).status == 200
+            await daemon.node.hand_over()
+            assert (await scene.raw(get, address=daemon.settings.ready_address)).status == 503
+
+        run_scene(work)
+
+    def test_metrics_name_the_store_s_calls(self) -> None:
+        """Counters are served as text at the metrics address."""
+
+        async def work(scene: Scene) -> None:
+            await scene.call("POST", "/plain/x", b"b")
+            get = b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            daemon = scene.daemons[0]
+            response = await scene.raw(get, address=daemon.settings.metrics_address)
+            text = response.body.decode()
+            for name in ("store_calls", "request_seconds", "feed_age_seconds", "jobs_owned"):
+                assert f"verbenawind_{name}" in text
+
+        run_scene(work)
+
+    def test_configuration_changes_are_followed_and_never_go_back(self) -> None:
+        """A newer configuration is in force soon; an older one is passed over."""
+
+        async def work(scene: Scene) -> None:
+            node = scene.daemons[0].node
+            scene.configure(version=5)
+            await scene.until(lambda: node.routes and node.routes.configuration.version == 5)
+            scene.configure(version=3)
+            await asyncio.sleep(0.5)
+            assert node.routes is not None and node.routes.configuration.version == 5
+
+        run_scene(work)
+
+    def test_calls_are_relayed_when_the_store_is_out_of_reach(self) -> None:
+        """A daemon that cannot reach the store has its calls made by a peer."""
+
+        async def work(scene: Scene) -> None:
+            await scene.until(lambda: scene.daemons[1].node.peer_addresses())
+            scene.daemons[1].store.redirect("127.0.0.1:9")
+            response = await scene.call("POST", "/batch/j", submission(), request_id="j", daemon=1)
+            assert response.status == 202
+
+        run_scene(work, daemons=2)
+
+    def test_new_weights_are_ordered(self) -> None:
+        """A named version reaches the engines as orders with a holder and a fencing number."""
+
+        async def work(scene: Scene) -> None:
+            scene.store.put("op", "version/tuner", {"model": "tuner", "version": 2})
+            await scene.until(lambda: any(engine.orders for engine in scene.engines))
+            order = next(engine.orders[0] for engine in scene.engines if engine.orders)
+            assert order["op-type"] == "version" and order["version"] == 2
+            assert order["holder"] == "host-0" and order["fencing-token"] >= 1
+            assert order["mode"] == "retain" and order["expect"] == 0
+
+        run_scene(work)
