--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -79,6 +79,12 @@
         self._latency_s = known_s + _LATENCY_GAIN * (latency_s - known_s) if known_s else latency_s
         self._measured_at_s = self._clock.monotonic_s()
 
+    def waited(self, elapsed_s: float) -> None:
+        """Record that an answer has not come for some time and is not waited for any more."""
+        if elapsed_s > self.latency_s:
+            self._latency_s = elapsed_s
+            self._measured_at_s = self._clock.monotonic_s()
+
     def failed(self) -> None:
         """Record a failure; the suspicion grows with each in a row."""
         length_s = min(_MAX_SUSPICION_S, _FIRST_SUSPICION_S * 2**self._failures)
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -27,6 +27,10 @@
 _HELD_BYTES = 1024 * 1024
 # A second send of an idempotent request starts after this part of its target latency.
 _HEDGE_FRACTION = 0.45
+# Looks at a request that waits.
+_MAX_HEDGES = 4
+# What another server is expected to take, against what the request has waited.
+_FASTER_FRACTION = 0.5
 # Hedges are allowed for one request in so many.
 _REQUESTS_PER_HEDGE = 4.0
 _MAX_SAVED_HEDGES = 5.0
@@ -36,6 +40,8 @@
 _FULL_RETRY_S = 0.2
 _NO_SERVER_RETRY_S = 0.5
 _MIN_SEND_S = 0.005
+# Shorter waits are over already.
+_LEAST_WAIT_S = 0.001
 _SERVER_ERROR = 500
 
 
@@ -54,9 +60,23 @@
 
 
 class _Exchange:
-    """The state of one caller's request between its sends."""
+    """The state of one caller's request between its sends.
 
-    __slots__ = ("failure", "last_error", "ran", "request", "route", "sends", "service", "tried")
+    ``overtaken`` is set once the answer of one send makes the others needless.
+    """
+
+    __slots__ = (
+        "failure",
+        "hedges",
+        "last_error",
+        "overtaken",
+        "ran",
+        "request",
+        "route",
+        "sends",
+        "service",
+        "tried",
+    )
 
     def __init__(self, request: CallerRequest, route: Route, service: str) -> None:
         self.request = request
@@ -65,6 +85,8 @@
         self.tried: set[str] = set()
         self.sends = 0
         self.ran = 0
+        self.hedges = 0
+        self.overtaken = False
         self.failure: Reply | None = None
         self.last_error: VerbenawindError | None = None
 
@@ -120,12 +142,13 @@
                     return self._give_up(exchange)
                 reply = await self._first(exchange, sends, hedge_at_s)
                 if reply is not None:
+                    exchange.overtaken = True
                     return reply
                 now_s = self._clock.monotonic_s()
-                if now_s >= request.deadline_s:
+                if now_s >= request.deadline_s - _LEAST_WAIT_S:
                     return self._give_up(exchange)
-                if sends and now_s >= hedge_at_s:
-                    hedge_at_s = request.deadline_s
+                if sends and now_s >= hedge_at_s - _LEAST_WAIT_S:
+                    hedge_at_s = self._next_hedge_s(exchange, now_s)
                     if (task := self._hedge(exchange)) is not None:
                         sends.add(task)
         finally:
@@ -138,7 +161,7 @@
         """Wait for a send to end, the hedge to be due or the deadline; return a good reply."""
         now_s = self._clock.monotonic_s()
         until_s = min(exchange.request.deadline_s, max(hedge_at_s, now_s))
-        if hedge_at_s <= now_s:
+        if hedge_at_s <= now_s + _LEAST_WAIT_S:
             until_s = exchange.request.deadline_s
         done, _ = await asyncio.wait(
             sends, timeout=max(0.0, until_s - now_s), return_when=asyncio.FIRST_COMPLETED
@@ -155,10 +178,28 @@
             exchange.failure = reply
         return None
 
+    def _next_hedge_s(self, exchange: _Exchange, now_s: float) -> float:
+        """Return when to look again whether a further send would be answered sooner."""
+        exchange.hedges += 1
+        if exchange.hedges >= _MAX_HEDGES:
+            return exchange.request.deadline_s
+        return now_s + _HEDGE_FRACTION * exchange.route.target_latency_s
+
     def _hedge(self, exchange: _Exchange) -> asyncio.Task[Reply] | None:
-        if not exchange.repeatable or self._hedges < 1.0:
+        """Start a further send of a request that waits.
+
+        The first look may use a saved hedge; later ones need a server that is expected to answer
+        in much less time than the request has waited, which no server is where all are slow.
+        """
+        if not exchange.repeatable:
+            return None
+        if exchange.hedges == 1 and self._hedges >= 1.0:
+            self._hedges -= 1.0
+            return self._start(exchange)
+        chosen = choose(self._directory.backends(exchange.service), self._location, exchange.tried)
+        waited_s = self._clock.monotonic_s() - exchange.request.arrived_s
+        if chosen is None or chosen[1].expected_s > _FASTER_FRACTION * waited_s:
             return None
-        self._hedges -= 1.0
         return self._start(exchange)
 
     def _start(self, exchange: _Exchange) -> asyncio.Task[Reply] | None:
@@ -216,6 +257,8 @@
         except asyncio.CancelledError:
             if answer is not None:
                 answer.close()
+            if exchange.overtaken:
+                backend.waited(self._clock.monotonic_s() - started_s)
             raise
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
