--- a/src/verbenawind/log_output.py
+++ b/src/verbenawind/log_output.py
@@ -48,8 +48,13 @@
         """Do nothing; lines are written soon after they are queued."""
 
     def drain(self) -> None:
-        """Write what the reader takes now."""
+        """Write what the reader takes now, and the rest soon."""
         self._flushing = False
+        self._write_waiting()
+        if self._partial or self._waiting:
+            self._schedule()
+
+    def _write_waiting(self) -> None:
         while self._partial or self._waiting:
             if not self._partial:
                 self._partial = b"".join(self._waiting)
@@ -64,8 +69,6 @@
                 self._partial = b""
                 continue
             self._partial = self._partial[written:]
-        if self._partial or self._waiting:
-            self._schedule()
 
     def _schedule(self) -> None:
         if self._flushing:
@@ -74,8 +77,7 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             # Before the loop runs and after it has ended lines are written at once.
-            self._flushing = True
-            self.drain()
+            self._write_waiting()
             return
         self._flushing = True
         loop.call_later(_FLUSH_S, self.drain)
