--- a/src/verbenawind/cli/commands.py
+++ b/src/verbenawind/cli/commands.py
@@ -60,6 +60,12 @@
     help: str
     run: Callable[[Invocation], Result]
 
+    def takes(self, count: int) -> bool:
+        """Return whether so many arguments fit; a last one that ends in dots may be repeated."""
+        if self.arguments and self.arguments[-1].endswith("..."):
+            return count >= len(self.arguments)
+        return count == len(self.arguments)
+
 
 COMMANDS: Registry[Command] = Registry("command")
 
--- a/src/verbenawind/cli/main.py
+++ b/src/verbenawind/cli/main.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import flags
 
-from verbenawind.cli import documents, running
+from verbenawind.cli import documents, logs, running
 from verbenawind.cli.client import CommandFailed, OperatorClient
 from verbenawind.cli.commands import COMMANDS, Command, Invocation, Result
 from verbenawind.cli.exit_codes import DESCRIPTIONS, ExitCode
@@ -18,7 +18,7 @@
 
 __all__ = ["main", "run"]
 
-_COMMAND_MODULES = (documents, running)
+_COMMAND_MODULES = (documents, logs, running)
 _DEFAULT_SERVER = "http://127.0.0.1:8080"
 _SERVER_VARIABLE = "VERBENAWIND_SERVER"
 _TOKEN_VARIABLE = "VERBENAWIND_TOKEN"
@@ -45,7 +45,7 @@
     if name not in COMMANDS.names():
         return _wrong_usage(f"there is no command {name!r}", err)
     wanted = COMMANDS.get(name)
-    if len(rest) != len(wanted.arguments):
+    if not wanted.takes(len(rest)):
         usage = " ".join([name, *wanted.arguments])
         return _wrong_usage(f"{name} takes {len(wanted.arguments)} arguments: {usage}", err)
     return _execute(wanted, rest, values, out, err)
--- /dev/null
+++ b/tests/cli/test_logs.py
@@ -0,0 +1,67 @@
+"""Tests of the commands that read the daemons' files."""
+
+import io
+import json
+from pathlib import Path
+
+from on_platform.test_settings import SETTINGS
+from verbenawind.cli import ExitCode, main
+
+
+def call(*words: str) -> tuple[int, str, str]:
+    """Return exit code, standard output and standard error of one command line."""
+    out, err = io.StringIO(), io.StringIO()
+    return main(["verbenawind", *words], out, err), out.getvalue(), err.getvalue()
+
+
+def write(path: Path, *lines: dict[str, object]) -> str:
+    """Write log lines, each after something that a collector put before it."""
+    path.write_text("\n".join(f"   3.25 host {json.dumps(line)}" for line in lines) + "\nnoise\n")
+    return str(path)
+
+
+class TestTrace:
+    def test_item_s_story_from_two_hosts(self, tmp_path: Path) -> None:
+        """Lines of an item and of its job come in order of time, others are left out."""
+        first = write(
+            tmp_path / "a",
+            {"event": "job_accepted", "timestamp": "10:00:01", "job_id": "j", "host": "a"},
+            {"event": "item_run", "timestamp": "10:00:03", "job_id": "j", "request_id": "i1"},
+            {"event": "item_run", "timestamp": "10:00:03", "job_id": "j", "request_id": "i2"},
+        )
+        second = write(
+            tmp_path / "b",
+            {"event": "job_claim", "timestamp": "10:00:02", "job_id": "j", "host": "b"},
+            {"event": "job_claim", "timestamp": "10:00:02", "job_id": "other", "host": "b"},
+        )
+        code, out, _ = call("trace", "i1", first, second)
+        assert code == ExitCode.DONE
+        assert [line.split()[0] for line in out.splitlines()] == [
+            "10:00:01",
+            "10:00:02",
+            "10:00:03",
+        ]
+        assert "i2" not in out and "other" not in out
+        code, out, _ = call("trace", "j", first, second, "--json")
+        assert len(json.loads(out)) == 4
+
+    def test_unknown_id_and_file(self, tmp_path: Path) -> None:
+        """An id that no line names, and a file that is not there, have their own exit codes."""
+        path = write(tmp_path / "a", {"event": "started", "timestamp": "1"})
+        assert call("trace", "nobody", path)[0] == ExitCode.NOT_FOUND
+        assert call("trace", "nobody", str(tmp_path / "none"))[0] == ExitCode.USAGE
+        assert call("trace", "nobody")[0] == ExitCode.USAGE
+
+
+class TestCheck:
+    def test_settings_of_a_host(self, tmp_path: Path) -> None:
+        """A good file is shown as the daemon reads it, a bad one with every fault."""
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS)
+        code, out, _ = call("check", "deploy", str(path))
+        assert code == ExitCode.DONE and "order_gap_s: 4.0" in out
+        path.write_text(SETTINGS.replace('"edge-1"', "7").replace('zone = "a"', ""))
+        code, _, err = call("check", "deploy", str(path))
+        assert code == ExitCode.INVALID
+        assert "$.node-name" in err and "$.zone: missing" in err
+        assert call("check", "moon", str(path))[0] == ExitCode.USAGE
