Add a fault soak over real processes

Daemons run as processes of their own; a loopback proxy delays, resets, cuts one way or silences their links, signals kill, end, freeze and restart them, the store refuses and loses answers, versions and configurations come meanwhile. Checked from outside: no accepted job is lost, every result whole, once and in place at every daemon, no refused job or request has run, requests that may run once do, SIGTERM ends within the grace.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 FAULTS ?= 0
 SEED ?= 1
 EXAMPLES ?= 200
+SECONDS ?= 30
 # Sets of strings iterate in one order, so that every run gives the same verdict.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench fuzz replay
+.PHONY: demo test lint format bench fuzz soak replay
 
 $(VENV)/.installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -35,5 +36,8 @@
 fuzz: | $(VENV)/.installed
 	VERBENAWIND_FUZZ_SEED=$(SEED) VERBENAWIND_FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest tests/fuzz
 
+soak: | $(VENV)/.installed
+	PYTHONPATH=src:tests $(PYTHON) -m soak.run --seed=$(SEED) --seconds=$(SECONDS)
+
 replay: | $(VENV)/.installed
 	PYTHONPATH=src $(PYTHON) -m verbenawind.traces tests/traces/*.jsonl tests/traces/long/*.jsonl
--- a/tests/on_platform/wire.py
+++ b/tests/on_platform/wire.py
@@ -176,11 +176,17 @@
         self.seen: list[tuple[str, str, dict[str, str], bytes]] = []
         self.refusing = False
         self.drop_next = 0
+        self.event_s = 0.0
         self.orders: list[Any] = []
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         body = await read_body(receive)
+        if scope["path"] == "/api/report":
+            models = [{"name": "tuner", "version": self.version, "adapters": []}]
+            report = {"models": models, "busy": False, "seq": len(self.orders)}
+            await answer(send, 200, json.dumps(report).encode())
+            return
         if scope["path"] == "/api/order":
             self.orders.append(json.loads(body))
             self.version = self.orders[-1]["version"]
@@ -218,5 +224,5 @@
         for number in range(first, count + 1):
             event = f"id: {number}\ndata: {headers['x-verbenawind-attempt-id']}.{number}\n\n"
             await send({"type": "http.response.body", "body": event.encode(), "more_body": True})
-            await asyncio.sleep(0)
+            await asyncio.sleep(self.event_s)
         await send({"type": "http.response.body", "body": b""})
