Let requests wait for the first view of routes and servers after a start

Ruled out: a longer Retry-After, as the retry then comes late for its target. Change: a request waits up to 0.8 s for the first view, which a start needs once, and is refused after that. Before: the new test gets 503, after: 200.

--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -195,15 +195,15 @@
         self.forwarder = Forwarder(self.directory, backends, settings.location, clock)
         self.streams = StreamForwarder(self.directory, backends, settings.location, clock)
 
+    @property
+    def informed(self) -> bool:
+        """Whether routes and backend servers have been read."""
+        return self.routes is not None and self.servers_feed.informed
+
     @property
     def ready(self) -> bool:
         """Whether this host should be given new callers."""
-        return (
-            not self._stopping
-            and self.routes is not None
-            and self.servers_feed.informed
-            and self.jobs_feed.informed
-        )
+        return not self._stopping and self.informed and self.jobs_feed.informed
 
     def start(self) -> None:
         """Begin to work; the node is ready once it knows the configuration."""
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -101,6 +101,7 @@
         self.store.via = RelayClient(self._transport, self.node.peer_addresses, clock, rng)
         self.front = Front(
             routes=lambda: self.node.routes,
+            informed=lambda: self.node.informed,
             forwarder=self.node.forwarder,
             streams=self.node.streams,
             jobs=self.node.jobs,
--- a/src/verbenawind/platform/front.py
+++ b/src/verbenawind/platform/front.py
@@ -78,6 +78,9 @@
 _DISCARD_FACTOR = 4
 _RETRY_S = 0.3
 _UNINFORMED_RETRY_S = 0.5
+# How long a request may wait for the first view of routes and servers, which a start needs once.
+_FIRST_VIEW_S = 0.8
+_FIRST_VIEW_POLL_S = 0.01
 # Answers leave so long before the caller's own deadline.
 _ANSWER_MARGIN_S = 0.01
 _DEFAULT_LIMITS = IngressLimits(
@@ -196,6 +199,7 @@
 
     Args:
         routes: The routes in force, None while there are none.
+        informed: Whether routes and backend servers have been read at all.
         forwarder: Serves plain requests.
         streams: Serves event streams.
         jobs: Serves batch jobs.
@@ -207,6 +211,7 @@
         self,
         *,
         routes: Callable[[], RouteTable | None],
+        informed: Callable[[], bool],
         forwarder: Forwarder,
         streams: StreamForwarder,
         jobs: BatchJobs,
@@ -214,6 +219,7 @@
         clock: Clock,
     ) -> None:
         self._routes = routes
+        self._informed = informed
         self._forwarder = forwarder
         self._streams = streams
         self._jobs = jobs
@@ -247,7 +253,7 @@
 
     async def _serve(self, exchange: _Exchange) -> None:
         self._check_head(exchange)
-        table = self._routes()
+        table = await self._first_routes()
         if table is None:
             raise StoreUnavailable(
                 "this daemon has no configuration yet",
@@ -278,6 +284,13 @@
         else:
             await self._forward(exchange, request, route, service)
 
+    async def _first_routes(self) -> RouteTable | None:
+        """Return the routes; a daemon that has just started learns them within moments."""
+        ends_at_s = self._clock.monotonic_s() + _FIRST_VIEW_S
+        while not self._informed() and self._clock.monotonic_s() < ends_at_s:
+            await self._clock.sleep(_FIRST_VIEW_POLL_S)
+        return self._routes()
+
     def _check_head(self, exchange: _Exchange) -> None:
         limit_bytes = self.limits.max_header_bytes
         size_bytes = sum(len(name) + len(value) + 4 for name, value in exchange.headers)
--- a/tests/on_platform/scene.py
+++ b/tests/on_platform/scene.py
@@ -70,8 +70,8 @@
         for index in range(daemons):
             await self.add_daemon(f"host-{index}")
 
-    async def add_daemon(self, name: str) -> PlatformDaemon:
-        """Start a daemon and wait until it is ready."""
+    async def add_daemon(self, name: str, *, ready: bool = True) -> PlatformDaemon:
+        """Start a daemon, and wait until it is ready if it should be."""
         daemon = PlatformDaemon(
             HostSettings(
                 host_name=name,
@@ -92,7 +92,8 @@
         )
         self.daemons.append(daemon)
         await daemon.start()
-        await self.until(lambda: daemon.node.ready)
+        if ready:
+            await self.until(lambda: daemon.node.ready)
         return daemon
 
     @staticmethod
--- a/tests/on_platform/test_front.py
+++ b/tests/on_platform/test_front.py
@@ -221,6 +221,32 @@
         run_scene(work)
 
 
+class TestStart:
+    def test_request_that_comes_before_the_configuration_is_served(self) -> None:
+        """A daemon that has just started serves a request once it knows the routes."""
+
+        async def work(scene: Scene) -> None:
+            scene.store.busy = True
+            await scene.add_daemon("late", ready=False)
+            asking = asyncio.ensure_future(scene.call("POST", "/plain/x", b"b", daemon=1))
+            await asyncio.sleep(0.1)
+            scene.store.busy = False
+            assert (await asking).status == 200
+
+        run_scene(work)
+
+    def test_request_is_refused_when_the_configuration_does_not_come(self) -> None:
+        """Without the store a daemon that has just started refuses, with a time to return."""
+
+        async def work(scene: Scene) -> None:
+            scene.store.busy = True
+            await scene.add_daemon("late", ready=False)
+            response = await scene.call("POST", "/plain/x", b"b", daemon=1)
+            assert response.status == 503 and float(response.headers["retry-after"]) > 0
+
+        run_scene(work)
+
+
 class TestOperation:
     def test_ready_only_with_a_configuration(self) -> None:
         """A daemon is ready once it knows the configuration, and unready when it is to end."""
