--- /dev/null
+++ b/src/verbenawind/batches/listing.py
@@ -0,0 +1,113 @@
+"""Lists the results of owned jobs, and closes jobs whose results are all listed."""
+
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from verbenawind.batches.book import JobBook
+from verbenawind.batches.journal import JobJournal
+from verbenawind.batches.owned_job import OwnedJob
+from verbenawind.batches.types import JobState
+from verbenawind.clock import Clock
+from verbenawind.errors import RowConflict, StoreUnavailable
+
+__all__ = ["ResultLister"]
+
+# Results wait so long for others to be listed with them.
+_COMMIT_PAUSE_S = 0.1
+_COMMIT_TIMEOUT_S = 3.0
+_READ_TIMEOUT_S = 3.0
+_RETRY_S = 0.05
+
+
+class ResultLister:
+    """Writes finished results to the journal, one transaction of a job at a time.
+
+    Args:
+        journal: The lasting record.
+        book: Learns of jobs that are closed.
+        clock: Time source.
+        drop: Stops a job that is somebody else's, with the reason.
+    """
+
+    __slots__ = ("_book", "_clock", "_drop", "_journal", "_log", "listed")
+
+    def __init__(
+        self,
+        journal: JobJournal,
+        book: JobBook,
+        clock: Clock,
+        drop: Callable[[OwnedJob, str], None],
+    ) -> None:
+        self._journal = journal
+        self._book = book
+        self._clock = clock
+        self._drop = drop
+        self._log = structlog.get_logger("batches")
+        self.listed = 0
+
+    def is_due(self, job: OwnedJob) -> bool:
+        """Return whether a job's results should be listed now."""
+        if job.committing is not None or not (job.finished or not job.work):
+            return False
+        waited_s = self._clock.monotonic_s() - job.finished_since_s
+        return not job.work or waited_s >= _COMMIT_PAUSE_S
+
+    async def commit(self, job: OwnedJob) -> None:
+        """List finished results; a transaction whose fate is open is repeated as it was."""
+        try:
+            if job.finished:
+                await self._list(job)
+            else:
+                await self._close(job)
+        except RowConflict as conflict:
+            await self._resolve(job, conflict)
+        finally:
+            job.committing = None
+
+    async def _list(self, job: OwnedJob) -> None:
+        batch = list(job.finished)
+        while True:
+            try:
+                tail = await self._journal.append(job.stored, job.tail, batch, _COMMIT_TIMEOUT_S)
+                break
+            except StoreUnavailable as error:
+                self._log.warning(
+                    "results_not_listed",
+                    job_id=job.job_id,
+                    results=len(batch),
+                    position=job.tail.listed,
+                    reason=error.message,
+                )
+                await self._clock.sleep(_RETRY_S)
+        count = tail.listed - job.tail.listed
+        job.tail = tail
+        del job.finished[:count]
+        self.listed += count
+        self._log.info("results_listed", job_id=job.job_id, results=count, position=tail.listed)
+
+    async def _close(self, job: OwnedJob) -> None:
+        """Mark a job as done whose results are all listed."""
+        done = msgspec.structs.replace(job.stored.record, state=JobState.DONE)
+        try:
+            self._book.learn(await self._journal.update(job.stored, done, _COMMIT_TIMEOUT_S))
+        except StoreUnavailable as error:
+            self._log.warning("job_not_closed", job_id=job.job_id, reason=error.message)
+            await self._clock.sleep(_RETRY_S)
+
+    async def _resolve(self, job: OwnedJob, conflict: RowConflict) -> None:
+        """Read a job again whose rows are not what they were."""
+        self._log.warning("job_conflict", job_id=job.job_id, reason=conflict.message)
+        try:
+            stored = await self._journal.job(job.job_id, _READ_TIMEOUT_S)
+        except StoreUnavailable as error:
+            self._log.warning("job_not_read", job_id=job.job_id, reason=error.message)
+            return
+        if stored is None:
+            self._drop(job, "its row is gone")
+        elif stored.version == job.stored.version:
+            # Results stand where none were expected: the keeper takes the job anew and reads them.
+            self._drop(job, "its results are not as expected")
+        else:
+            self._book.learn(stored)
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -10,12 +10,13 @@
 import structlog
 
 from verbenawind.batches.book import JobBook
+from verbenawind.batches.engine_view import EngineView
 from verbenawind.batches.item_run import HeldText, RunEnd, RunLimits, RunOutcome, run_item
 from verbenawind.batches.journal import JobJournal, StoredJob, Tail
-from verbenawind.batches.ordering import EngineChoice, EngineState, choose_engine
+from verbenawind.batches.listing import ResultLister
+from verbenawind.batches.ordering import EngineChoice
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
-from verbenawind.batches.paces import EnginePaces, RunPace
-from verbenawind.batches.types import BatchItem, ItemResult, JobRecord, JobState, ResultState
+from verbenawind.batches.types import BatchItem, ItemResult, JobState, ResultState
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.gateway import (
@@ -29,19 +30,13 @@
 
 __all__ = ["BatchRunner", "RunnerCounts"]
 
-# Results wait so long for others to be listed with them.
-_COMMIT_PAUSE_S = 0.1
-_COMMIT_TIMEOUT_S = 3.0
+_HAND_OVER_TIMEOUT_S = 3.0
 _READ_TIMEOUT_S = 3.0
 # The pause between looks at waiting items when nothing wakes the runner.
 _LOOK_S = 0.05
 # How long an engine may be silent before an item goes on elsewhere.
 _FIRST_EVENT_S = 1.0
 _STALL_S = 0.6
-# After a refusal an engine gets no item for so long.
-_REFUSED_S = 0.08
-# An engine that may have newer weights by now is asked this often.
-_PROBE_S = 0.12
 _RETRY_S = 0.05
 # An item on a route without a retention is given up after so long.
 _DEFAULT_RETENTION_S = 3600.0
@@ -54,13 +49,11 @@
 class RunnerCounts:
     """Counts what the runner did, for the metrics."""
 
-    __slots__ = ("events", "listed", "moved", "runs")
+    __slots__ = ("moved", "runs")
 
     def __init__(self) -> None:
         self.runs: dict[str, int] = {}
-        self.listed = 0
         self.moved = 0
-        self.events = 0
 
 
 class BatchRunner:
@@ -100,16 +93,14 @@
         self._port = port
         self._routes = routes
         self._newest_version = newest_version
-        self._current_engines = current_engines
         self._store_ms = store_ms
         self._clock = clock
         self.jobs: dict[str, OwnedJob] = {}
         self._loading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
-        self._paces = EnginePaces(clock)
-        self._refused_until_s: dict[str, float] = {}
-        self._probed_at_s: dict[tuple[str, str], float] = {}
+        self._engines = EngineView(directory, newest_version, current_engines, clock)
+        self._lister = ResultLister(journal, book, clock, self._drop)
         self._texts: OrderedDict[str, HeldText] = OrderedDict()
         self._unfinished_groups: OrderedDict[str, None] = OrderedDict()
         self.stopping = False
@@ -118,6 +109,11 @@
         book.on_change(self._job_changed)
         directory.on_change(self._wake.set)
 
+    @property
+    def results_listed(self) -> int:
+        """How many results this daemon has listed."""
+        return self._lister.listed
+
     @property
     def busy(self) -> bool:
         """Whether this daemon owns open jobs."""
@@ -273,7 +269,7 @@
             return
         free = msgspec.structs.replace(job.stored.record, owner="")
         try:
-            self._book.learn(await self._journal.update(job.stored, free, _COMMIT_TIMEOUT_S))
+            self._book.learn(await self._journal.update(job.stored, free, _HAND_OVER_TIMEOUT_S))
         except (RowConflict, StoreUnavailable) as error:
             self._log.warning("job_not_handed_over", job_id=job.job_id, reason=error.message)
             self._drop(job, "the daemon stops")
@@ -317,83 +313,21 @@
             self._terminate(job, work, f"older than {route.retention_s} s")
             return True
         service = service_of(route, record.job_id)
-        backends = {
-            backend.instance.instance_id: backend
-            for backend in self._directory.backends(service)
-            if not record.model or record.model in backend.versions
-        }
-        if route.single_version:
-            backends = self._of_one_version(backends, record.model, work)
-        current = self._current_engines(record.model, service) if record.model else frozenset()
-        choice = self._choose(list(backends.values()), job, work, now_s, current)
+        engines = self._engines.engines(
+            service, record.model, work, single_version=route.single_version
+        )
+        choice = self._engines.choose(engines, service, record, work)
         if choice is None:
             return False
-        backend = backends[choice.instance_id]
-        if choice.probing:
-            self._probed_at_s[choice.instance_id, record.model] = now_s
+        backend = engines[choice.instance_id]
         work.task = self._spawn(
-            self._run_item(job, work, route, backend, choice, remaining_s, list(backends))
+            self._run_item(job, work, route, backend, choice, remaining_s, list(engines))
         )
         # Counted at once, so that the next item of this look sees the load.
         backend.begin()
         work.task.add_done_callback(lambda _: backend.end())
         return True
 
-    @staticmethod
-    def _of_one_version(
-        backends: dict[str, Backend], model: str, work: ItemWork
-    ) -> dict[str, Backend]:
-        """Return the engines that can go on with the item's text, which is dropped if none can."""
-        if not work.held.versions:
-            return backends
-        fit = {
-            name: backend
-            for name, backend in backends.items()
-            if backend.versions.get(model) in work.held.versions
-        }
-        if fit:
-            return fit
-        work.held.clear()
-        return backends
-
-    def _choose(
-        self,
-        backends: Sequence[Backend],
-        job: OwnedJob,
-        work: ItemWork,
-        now_s: float,
-        current: frozenset[str],
-    ) -> EngineChoice | None:
-        record = job.stored.record
-        names = [backend.instance.instance_id for backend in backends]
-        states = [
-            EngineState(
-                instance_id=backend.instance.instance_id,
-                slots=self._paces.room(backend.instance.instance_id, backend.instance.slots, names),
-                outstanding=backend.outstanding,
-                pace_s=self._paces.pace_s(backend.instance.instance_id),
-                version=backend.versions.get(record.model, 0) if record.model else 0,
-                suspected=backend.suspected,
-                share=backend.instance.slots / _sharers(backend, len(current), len(backends)),
-            )
-            for backend in backends
-            if self._refused_until_s.get(backend.instance.instance_id, 0.0) <= now_s
-        ]
-        probes = [
-            state.instance_id
-            for state in states
-            if state.instance_id in current
-            and self._newest_version(record.model) >= record.min_version
-            and now_s - self._probed_at_s.get((state.instance_id, record.model), 0.0) > _PROBE_S
-        ]
-        excluded = work.excluded if len(work.excluded) < len(backends) else set()
-        return choose_engine(
-            states,
-            min_version=record.min_version if record.model else 0,
-            excluded=excluded,
-            probes=probes,
-        )
-
     async def _run_item(
         self,
         job: OwnedJob,
@@ -430,10 +364,10 @@
                 limits,
                 port=self._port,
                 clock=self._clock,
-                paces=self._paces,
+                paces=self._engines.paces,
                 should_move=lambda pace: (
                     work.moves < _MAX_MOVES
-                    and self._should_move(pace, others, record, len(work.held.events))
+                    and self._engines.should_move(pace, others, record, len(work.held.events))
                 ),
             )
         finally:
@@ -457,23 +391,6 @@
         if job.job_id in self.jobs and self.jobs[job.job_id] is job:
             self._learn(job, work, route, backend, choice, outcome, held_before)
 
-    def _should_move(
-        self, pace: RunPace, others: Sequence[str], record: JobRecord, events: int
-    ) -> bool:
-        """Return whether an engine with room for the item is so much faster that it pays."""
-        free = []
-        for name in others:
-            other = self._directory.get(name)
-            if (
-                other is not None
-                and not other.suspected
-                and not other.instance.draining
-                and other.outstanding < other.instance.slots
-                and (not record.model or other.versions.get(record.model, 0) >= record.min_version)
-            ):
-                free.append(name)
-        return self._paces.should_move(pace, free, events)
-
     def _learn(
         self,
         job: OwnedJob,
@@ -498,7 +415,7 @@
                 if outcome.other_version and not choice.probing:
                     newest_named = self._newest_version(model)
                     backend.learn_version(model, max(newest_named, backend.versions.get(model, 0)))
-                self._refused_until_s[name] = now_s + (0.0 if choice.probing else _REFUSED_S)
+                self._engines.refused(name, probing=choice.probing)
                 work.not_before_s = now_s
             case RunEnd.SLOW:
                 self.counts.moved += 1
@@ -540,79 +457,16 @@
         result = ItemResult(item_id=work.item.item_id, state=ResultState.TERMINATED, text="")
         job.finish(result, self._clock.monotonic_s())
 
-    # Results.
-
     def _list_results(self) -> None:
         if self.stopping:
             return
-        now_s = self._clock.monotonic_s()
         for job in list(self.jobs.values()):
-            if job.committing is not None or not (job.finished or not job.work):
-                continue
-            if job.work and now_s - job.finished_since_s < _COMMIT_PAUSE_S:
-                continue
-            job.committing = self._spawn(self._commit(job))
+            if self._lister.is_due(job):
+                job.committing = self._spawn(self._commit(job))
 
     async def _commit(self, job: OwnedJob) -> None:
-        """List finished results; a transaction whose fate is open is repeated as it was."""
-        try:
-            batch = list(job.finished)
-            if not batch:
-                await self._close(job)
-                return
-            while True:
-                try:
-                    tail = await self._journal.append(
-                        job.stored, job.tail, batch, _COMMIT_TIMEOUT_S
-                    )
-                    break
-                except StoreUnavailable as error:
-                    self._log.warning(
-                        "results_not_listed",
-                        job_id=job.job_id,
-                        results=len(batch),
-                        position=job.tail.listed,
-                        reason=error.message,
-                    )
-                    await self._clock.sleep(_RETRY_S)
-            listed = tail.listed - job.tail.listed
-            job.tail = tail
-            del job.finished[:listed]
-            self.counts.listed += listed
-            self._log.info(
-                "results_listed", job_id=job.job_id, results=listed, position=tail.listed
-            )
-        except RowConflict as conflict:
-            await self._resolve(job, conflict)
-        finally:
-            job.committing = None
-            self._wake.set()
-
-    async def _close(self, job: OwnedJob) -> None:
-        """Mark a job as done whose results are all listed."""
-        done = msgspec.structs.replace(job.stored.record, state=JobState.DONE)
-        try:
-            self._book.learn(await self._journal.update(job.stored, done, _COMMIT_TIMEOUT_S))
-        except StoreUnavailable as error:
-            self._log.warning("job_not_closed", job_id=job.job_id, reason=error.message)
-            await self._clock.sleep(_RETRY_S)
-
-    async def _resolve(self, job: OwnedJob, conflict: RowConflict) -> None:
-        """Read a job again whose row is not what it was."""
-        self._log.warning("job_conflict", job_id=job.job_id, reason=conflict.message)
-        try:
-            stored = await self._journal.job(job.job_id, _READ_TIMEOUT_S)
-        except StoreUnavailable as error:
-            self._log.warning("job_not_read", job_id=job.job_id, reason=error.message)
-            return
-        if stored is None:
-            self._drop(job, "its row is gone")
-            return
-        if stored.version == job.stored.version:
-            # A result row stands where none was expected: somebody else's view is right.
-            self._drop(job, "its results were listed by another")
-            return
-        self._book.learn(stored)
+        await self._lister.commit(job)
+        self._wake.set()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
@@ -624,8 +478,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.error("batch_task_failed", exc_info=error)
-
-
-def _sharers(backend: Backend, current: int, engines: int) -> float:
-    """Return how many models' jobs use an engine, on average over the pool."""
-    return max(1.0, len(backend.versions) * current / max(1, engines))
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -196,7 +196,7 @@
             age_s = getattr(self.node, f"{feed}_feed").age_s()
             put("feed_age_seconds", "Time since a feed was heard.", age_s, feed=feed)
         put("jobs_owned", "Open jobs that are run here.", len(self.node.runner.jobs))
-        put("results_listed", "Results listed here.", self.node.runner.counts.listed)
+        put("results_listed", "Results listed here.", self.node.runner.results_listed)
         put("job_takeovers", "Jobs taken over from other daemons.", self.node.keeper.takeovers)
         put("relayed_calls", "Store calls made for peers.", self._relay_server.relayed)
         put(
--- a/src/verbenawind/platform/front.py
+++ b/src/verbenawind/platform/front.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping, MutableMapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
 from urllib.parse import parse_qs
 
@@ -35,6 +35,7 @@
 )
 from verbenawind.metrics import Metrics
 from verbenawind.platform.batches import decode_submission, encode_page
+from verbenawind.platform.exchange import Exchange, Receive, Scope, Send, end_to_end
 from verbenawind.platform.names import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
@@ -44,38 +45,16 @@
 
 __all__ = ["Front"]
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 T = TypeVar("T")
 
 _JOBS_PATH = "/api/lots/"
 _ITEMS_PATH = "/api/items/"
 _JSON = [("Content-Type", "application/json")]
-# Headers that concern one connection only.
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-        "host",
-    }
-)
 # A submission that the store does not take is given back for a try elsewhere after this part of
 # its caller's patience, unless it may have been recorded.
 _SUBMIT_FRACTION = 0.4
 _DEFAULT_SUBMIT_S = 5.0
 _MAX_READ_WAIT_S = 1.0
-# A body that is too large is read and dropped up to this multiple of the limit.
-_DISCARD_FACTOR = 4
 _RETRY_S = 0.3
 _UNINFORMED_RETRY_S = 0.5
 # How long a request may wait for the first view of routes and servers, which a start needs once.
@@ -91,109 +70,6 @@
 )
 
 
-class _Exchange:
-    """One caller's request and the answer to it.
-
-    Args:
-        scope: The request's head.
-        receive: Gives its body, and tells when the caller leaves.
-        send: Takes the answer.
-    """
-
-    __slots__ = (
-        "_receive",
-        "_send",
-        "arrived_s",
-        "closing",
-        "headers",
-        "host",
-        "method",
-        "path",
-        "query",
-        "started",
-        "target",
-    )
-
-    def __init__(self, scope: Scope, receive: Receive, send: Send, arrived_s: float) -> None:
-        self._receive = receive
-        self._send = send
-        self.arrived_s = arrived_s
-        self.started = False
-        self.closing = False
-        self.method: str = scope["method"]
-        self.headers = [
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
-        ]
-        self.host = (self.header("Host") or "").lower()
-        raw_path: bytes = scope["raw_path"]
-        self.path = raw_path.decode("latin-1")
-        query: bytes = scope["query_string"]
-        self.query = query.decode("latin-1")
-        self.target = f"{self.path}?{self.query}" if query else self.path
-
-    def header(self, name: str) -> str | None:
-        """Return the first header of a name."""
-        wanted = name.lower()
-        return next((value for key, value in self.headers if key == wanted), None)
-
-    def number(self, name: str) -> float | None:
-        """Return the number in a header, None where there is none."""
-        try:
-            value = float(self.header(name) or "")
-        except ValueError:
-            return None
-        return value if math.isfinite(value) else None
-
-    async def body(self, max_bytes: int) -> bytes:
-        """Return the request's body.
-
-        Raises:
-            TooLarge: It is longer than *max_bytes*.
-            CallerDisconnected: The caller left before it was whole.
-        """
-        parts: list[bytes] = []
-        size_bytes = 0
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise CallerDisconnected("the caller left before its request was whole")
-            data = message.get("body", b"")
-            size_bytes += len(data)
-            if size_bytes <= max_bytes:
-                parts.append(data)
-            ended = not message.get("more_body", False)
-            # A caller that still sends when its connection closes may never see the answer.
-            if size_bytes > max_bytes and (ended or size_bytes > _DISCARD_FACTOR * max_bytes):
-                raise TooLarge(f"a body may have {max_bytes} bytes")
-            if ended:
-                return b"".join(parts)
-
-    async def gone(self) -> None:
-        """Return once the caller has left."""
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-
-    async def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
-        """Send the answer's head."""
-        self.started = True
-        raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-        if self.closing:
-            raw.append((b"connection", b"close"))
-        await self._send({"type": "http.response.start", "status": status, "headers": raw})
-
-    async def write(self, data: bytes, *, last: bool = False) -> None:
-        """Send a stretch of the answer's body."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": not last})
-
-    async def answer(
-        self, status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = ()
-    ) -> None:
-        """Send a whole answer."""
-        length = () if self.method == "HEAD" else (("Content-Length", str(len(body))),)
-        await self.start(status, [*headers, *length])
-        await self.write(body, last=True)
-
-
 class Front:
     """An ASGI application: routes, batch jobs, and nothing else.
 
@@ -236,7 +112,7 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
-        exchange = _Exchange(scope, receive, send, self._clock.monotonic_s())
+        exchange = Exchange(scope, receive, send, self._clock.monotonic_s())
         exchange.closing = self.draining
         outcome = "ok"
         try:
@@ -251,7 +127,7 @@
             took_s = self._clock.monotonic_s() - exchange.arrived_s
             self._metrics.count_request(_operation(exchange), outcome, took_s)
 
-    async def _serve(self, exchange: _Exchange) -> None:
+    async def _serve(self, exchange: Exchange) -> None:
         self._check_head(exchange)
         table = await self._first_routes()
         if table is None:
@@ -291,13 +167,13 @@
             await self._clock.sleep(_FIRST_VIEW_POLL_S)
         return self._routes()
 
-    def _check_head(self, exchange: _Exchange) -> None:
+    def _check_head(self, exchange: Exchange) -> None:
         limit_bytes = self.limits.max_header_bytes
         size_bytes = sum(len(name) + len(value) + 4 for name, value in exchange.headers)
         if size_bytes > limit_bytes:
             raise HeadersTooLarge(f"headers may have {limit_bytes} bytes")
 
-    async def _request(self, exchange: _Exchange, route: Route) -> CallerRequest:
+    async def _request(self, exchange: Exchange, route: Route) -> CallerRequest:
         request_id = exchange.header(ATTEMPT_HEADER)
         if not request_id:
             raise InvalidRequest(f"a request needs the header {ATTEMPT_HEADER}")
@@ -310,7 +186,7 @@
             method=exchange.method,
             host=exchange.header("Host") or "",
             target=exchange.target,
-            headers=_end_to_end(exchange.headers),
+            headers=end_to_end(exchange.headers),
             body=await exchange.body(self.limits.max_body_bytes),
             arrived_s=exchange.arrived_s,
             deadline_s=exchange.arrived_s + min(limit_s, _LONGEST_S),
@@ -318,12 +194,12 @@
         )
 
     async def _forward(
-        self, exchange: _Exchange, request: CallerRequest, route: Route, service: str
+        self, exchange: Exchange, request: CallerRequest, route: Route, service: str
     ) -> None:
         reply = await self._while_caller_stays(
             exchange, self._forwarder.forward(request, route, service), request.request_id
         )
-        headers = _end_to_end(reply.headers)
+        headers = end_to_end(reply.headers)
         self._log.info(
             "request_answered",
             request_id=request.request_id,
@@ -344,7 +220,7 @@
             reply.rest.close()
 
     async def _stream(
-        self, exchange: _Exchange, request: CallerRequest, route: Route, service: str
+        self, exchange: Exchange, request: CallerRequest, route: Route, service: str
     ) -> None:
         async def copy() -> int:
             events = 0
@@ -371,7 +247,7 @@
 
     # Batch jobs.
 
-    async def _submit(self, exchange: _Exchange, route: Route) -> None:
+    async def _submit(self, exchange: Exchange, route: Route) -> None:
         job_id = exchange.header(ATTEMPT_HEADER)
         if not job_id or exchange.method != "POST":
             raise InvalidRequest(f"a job is submitted by a POST with the header {ATTEMPT_HEADER}")
@@ -383,7 +259,7 @@
         await self._jobs.submit(submission, exchange.arrived_s + limit_s)
         await exchange.answer(202)
 
-    async def _serve_job_call(self, exchange: _Exchange) -> None:
+    async def _serve_job_call(self, exchange: Exchange) -> None:
         query = parse_qs(exchange.query)
         if exchange.path.startswith(_ITEMS_PATH):
             job_id = exchange.path.removeprefix(_ITEMS_PATH)
@@ -414,7 +290,7 @@
     # Endings.
 
     async def _while_caller_stays(
-        self, exchange: _Exchange, work: Coroutine[Any, Any, T], request_id: str
+        self, exchange: Exchange, work: Coroutine[Any, Any, T], request_id: str
     ) -> T:
         """Return the result of *work*, which is cancelled when the caller leaves."""
         working = asyncio.get_running_loop().create_task(work)
@@ -431,7 +307,7 @@
                 with contextlib.suppress(asyncio.CancelledError, VerbenawindError):
                     await working
 
-    async def _fail(self, exchange: _Exchange, error: VerbenawindError) -> None:
+    async def _fail(self, exchange: Exchange, error: VerbenawindError) -> None:
         status = _status(error)
         self._log.info(
             "request_failed",
@@ -459,8 +335,8 @@
 _LONGEST_S = 3600.0
 
 
-async def _start_like(exchange: _Exchange, answer: Answer) -> None:
-    await exchange.start(answer.status, _end_to_end(answer.headers))
+async def _start_like(exchange: Exchange, answer: Answer) -> None:
+    await exchange.start(answer.status, end_to_end(answer.headers))
 
 
 def _status(error: VerbenawindError) -> int:
@@ -478,23 +354,7 @@
     return 504 if isinstance(error, DeadlineExceeded) else 502
 
 
-def _end_to_end(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
-    """Return the headers that do not concern one connection only."""
-    listed = list(headers)
-    named = {
-        part.strip().lower()
-        for name, value in listed
-        if name.lower() == "connection"
-        for part in value.split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in listed
-        if name.lower() not in _HOP_HEADERS and name.lower() not in named
-    )
-
-
-def _operation(exchange: _Exchange) -> str:
+def _operation(exchange: Exchange) -> str:
     if exchange.path.startswith(_JOBS_PATH):
         return "end_job" if exchange.method == "DELETE" else "read_results"
     return "read_body" if exchange.path.startswith(_ITEMS_PATH) else "request"
