--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	VERBENAWIND_FUZZ_SEED=$(SEED) VERBENAWIND_FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest tests/fuzz
 
 soak: | $(VENV)/.installed
-	PYTHONPATH=src:tests $(PYTHON) -m soak.run --seed=$(SEED) --seconds=$(SECONDS)
+	PYTHONPATH=src:tests $(PYTHON) -m soak --seed=$(SEED) --seconds=$(SECONDS)
 
 replay: | $(VENV)/.installed
 	PYTHONPATH=src $(PYTHON) -m verbenawind.traces tests/traces/*.jsonl tests/traces/long/*.jsonl
--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -25,6 +25,7 @@
     Forbidden,
     GradeConflict,
     HeadersTooLarge,
+    HistoryLost,
     IdempotencyKeyReused,
     InvalidRequest,
     LeaseLost,
@@ -36,6 +37,7 @@
     RequestConvicted,
     RequestTooSlow,
     RevisionConflict,
+    RowConflict,
     StepConflict,
     StoreUnavailable,
     TooLarge,
@@ -136,6 +138,7 @@
 @http_status.register(StepConflict)
 @http_status.register(GradeConflict)
 @http_status.register(ConditionFailed)
+@http_status.register(RowConflict)
 def _(_: VerbenawindError) -> int:
     return 409
 
@@ -160,6 +163,7 @@
 @http_status.register(AdmissionRefused)
 @http_status.register(BackendServerUnreachable)
 @http_status.register(Draining)
+@http_status.register(HistoryLost)
 @http_status.register(LeaseLost)
 @http_status.register(NoBackendServer)
 @http_status.register(Overloaded)
--- a/tests/programs/processes.py
+++ b/tests/programs/processes.py
@@ -168,6 +168,7 @@
         *arguments,
         env=environment,
         stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
     )
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,23 +1,15 @@
-"""The fault soak: real daemons, faults from outside, and promises checked by what callers see.
-
-``python -m soak.run --seed 7 --seconds 30`` from ``tests/`` with ``src`` on the path; exits with 1
-and names what was broken.
-"""
+"""The fault soak: real daemons, faults from outside, promises checked by what callers see."""
 
 import asyncio
 import base64
 import json
 import signal
-import sys
-import tempfile
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
 from typing import Any
 
-from absl import app, flags
-
 from on_platform.scene import HOST, MODEL, Response, Scene
 from on_platform.wire import WireServer, WireStore
 from soak.hosts import SoakHost
@@ -25,12 +17,6 @@
 
 __all__ = ["Soak"]
 
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the faults and of the load.")
-_SECONDS = flags.DEFINE_float("seconds", 30.0, "How long faults are injected.")
-_HOSTS = flags.DEFINE_integer("hosts", 4, "Daemons, each a process of its own.")
-_ENGINES = flags.DEFINE_integer("engines", 3, "Engines.")
-_KEEP = flags.DEFINE_string("keep", "", "Directory for logs; a temporary one when empty.")
-
 _EVENT_S = 0.02
 _CALL_TIMEOUT_S = 6.0
 _READ_TIMEOUT_S = 3.0
@@ -428,17 +414,3 @@
                 "broken": self.broken,
             }
         )
-
-
-def _main(_: list[str]) -> None:
-    with tempfile.TemporaryDirectory() as temporary:
-        directory = Path(_KEEP.value or temporary)
-        directory.mkdir(parents=True, exist_ok=True)
-        soak = Soak(_SEED.value, _HOSTS.value, _ENGINES.value, directory)
-        asyncio.run(soak.run(_SECONDS.value))
-        print(soak.summary())
-    sys.exit(1 if soak.broken else 0)
-
-
-if __name__ == "__main__":
-    app.run(_main)
