Let a process that still loads its modules end by SIGTERM itself

Its log has no 'stopping': the signal came to a process that had been started a moment before, by the other fault loop, and had no handler yet; it had served nobody ('started' is logged after the handlers are in place). The case is allowed; the check now asks whether the process had begun.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -71,6 +71,7 @@
         self.link = FaultyProxy(store)
         self.process: asyncio.subprocess.Process | None = None
         self.stopped = False
+        self._log_offset = 0
 
     @property
     def runs(self) -> bool:
@@ -98,6 +99,7 @@
             "VERBENAWIND_SETTINGS": str(self._settings),
         }
         with self._log.open("ab") as log:
+            self._log_offset = log.tell()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -107,6 +109,12 @@
                 stderr=log,
             )
 
+    def has_begun(self) -> bool:
+        """Return whether the present process has said that it serves."""
+        with self._log.open("rb") as log:
+            log.seek(self._log_offset)
+            return b'"event": "started"' in log.read()
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process that this host started."""
         if self.process is not None and self.process.returncode is None:
