Remove closed jobs from the store once nobody may read them

Cause: rows and objects of jobs were never removed; at 150 KB a job the store's 400 MB are full after some 2,700 jobs, and every later submission would be refused. Change: the daemon that a rendezvous names removes a closed job 60 s after its readers' time, its own row last. Tests: tests/node TestSweeping.

--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -5,6 +5,7 @@
 from verbenawind.batches.keeper import JobKeeper
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.service import BatchJobs
+from verbenawind.batches.sweeping import JobSweeper
 from verbenawind.batches.types import (
     BatchItem,
     BatchSubmission,
@@ -27,6 +28,7 @@
     "JobKeeper",
     "JobRecord",
     "JobState",
+    "JobSweeper",
     "ResultState",
     "ResultsPage",
     "StoredJob",
--- a/src/verbenawind/batches/book.py
+++ b/src/verbenawind/batches/book.py
@@ -76,6 +76,14 @@
         """Return a job that is known here; others may exist."""
         return self._jobs.get(job_id)
 
+    def forget(self, job_id: str) -> None:
+        """Drop a job that is gone from the store."""
+        self._jobs.pop(job_id, None)
+
+    def closed_jobs(self) -> Sequence[KnownJob]:
+        """Return the jobs that are done or ended."""
+        return [known for known in self._jobs.values() if known.record.state is not JobState.OPEN]
+
     def open_jobs(self) -> Sequence[KnownJob]:
         """Return the jobs that are worked on."""
         return [known for known in self._jobs.values() if known.record.state is JobState.OPEN]
--- a/src/verbenawind/batches/journal.py
+++ b/src/verbenawind/batches/journal.py
@@ -30,6 +30,8 @@
 _MAX_TRANSACTION_BYTES = 400 * 1024
 _MAX_TRANSACTION_ROWS = 40
 _MAX_PAGE_BYTES = 700 * 1024
+# Rows that one transaction of a sweep deletes.
+_SWEPT_ROWS = 40
 _END_TRIES = 5
 
 
@@ -270,6 +272,36 @@
                 )
         return found
 
+    async def remove(self, job: StoredJob, timeout_s: float) -> None:
+        """Remove all of a job; its own row goes last, so that a broken off removal is repeated.
+
+        Raises:
+            RowConflict: The job has changed meanwhile.
+        """
+        job_id = job.record.job_id
+        for table in (_RESULTS_TABLE, _TEXTS_TABLE, _TAILS_TABLE):
+            while rows := (
+                await self._store.rows(table, job_id, timeout_s, limit=_SWEPT_ROWS)
+            ).rows:
+                for result in rows:
+                    await self._drop_text(table, result.value, timeout_s)
+                await self._delete([(row.row_id, row.version) for row in rows], timeout_s)
+        await self._store.drop_object(_submission_object(job_id), timeout_s)
+        await self._delete([(_job_row(job_id), job.version)], timeout_s)
+
+    async def _delete(self, rows: Sequence[tuple[RowId, int]], timeout_s: float) -> None:
+        checks = tuple(RowCheck(row_id=row_id, version=version) for row_id, version in rows)
+        writes = tuple(RowWrite(row_id=row_id, value=None) for row_id, _ in rows)
+        await self._store.commit(RowTransaction(checks=checks, writes=writes), timeout_s)
+
+    async def _drop_text(self, table: str, value: bytes | None, timeout_s: float) -> None:
+        """Remove the objects of texts that were too large for a result's row."""
+        if table != _RESULTS_TABLE or value is None:
+            return
+        for result in msgspec.msgpack.decode(value, type=list[_StoredResult]):
+            if result.text_object:
+                await self._store.drop_object(result.text_object, timeout_s)
+
     async def _row(
         self, job_id: str, results: Sequence[ItemResult], timeout_s: float
     ) -> tuple[bytes, int]:
--- /dev/null
+++ b/src/verbenawind/batches/sweeping.py
@@ -0,0 +1,73 @@
+"""Removes jobs that nobody may ask for any more from the store."""
+
+from collections.abc import Callable
+
+import structlog
+
+from verbenawind.batches.book import JobBook, KnownJob
+from verbenawind.batches.journal import JobJournal
+from verbenawind.batches.types import JobState
+from verbenawind.clock import Clock
+from verbenawind.errors import RowConflict, StoreUnavailable
+
+__all__ = ["JobSweeper"]
+
+_LOOK_S = 5.0
+_TIMEOUT_S = 3.0
+# Jobs are kept for so long beyond the time for which they may be read.
+_MARGIN_S = 60.0
+
+
+class JobSweeper:
+    """Sweeps closed jobs, each at the daemon that a rendezvous of the present ones names.
+
+    Args:
+        book: Every job that is known.
+        journal: The lasting record.
+        is_mine: Whether this daemon sweeps a job.
+        store_ms: The store's clock.
+        keep_s: For how long a job may be read after its submission.
+        clock: Time source.
+    """
+
+    __slots__ = ("_book", "_clock", "_is_mine", "_journal", "_keep_s", "_log", "_store_ms")
+
+    def __init__(
+        self,
+        book: JobBook,
+        journal: JobJournal,
+        *,
+        is_mine: Callable[[str], bool],
+        store_ms: Callable[[], int],
+        keep_s: float,
+        clock: Clock,
+    ) -> None:
+        self._book = book
+        self._journal = journal
+        self._is_mine = is_mine
+        self._store_ms = store_ms
+        self._keep_s = keep_s
+        self._clock = clock
+        self._log = structlog.get_logger("batches")
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await self._clock.sleep(_LOOK_S)
+            for known in self._book.closed_jobs():
+                if self._is_due(known) and self._is_mine(known.record.job_id):
+                    await self._sweep(known)
+
+    def _is_due(self, known: KnownJob) -> bool:
+        age_s = (self._store_ms() - known.record.submitted_ms) / 1000
+        return known.record.state is not JobState.OPEN and age_s > self._keep_s + _MARGIN_S
+
+    async def _sweep(self, known: KnownJob) -> None:
+        job_id = known.record.job_id
+        try:
+            await self._journal.remove(known.job, _TIMEOUT_S)
+        except (RowConflict, StoreUnavailable) as error:
+            self._log.info("job_not_swept", job_id=job_id, reason=error.message)
+        else:
+            self._book.forget(job_id)
+            self._log.info("job_swept", job_id=job_id, state=known.record.state.value)
--- a/src/verbenawind/kernel/row_ports.py
+++ b/src/verbenawind/kernel/row_ports.py
@@ -104,5 +104,8 @@
     async def put_object(self, name: str, data: bytes, timeout_s: float) -> None:
         """Store an object that is absent; one that is there stays as it is."""
 
+    async def drop_object(self, name: str, timeout_s: float) -> None:
+        """Remove an object; one that is absent is passed over."""
+
     async def get_object(self, name: str, timeout_s: float) -> bytes | None:
         """Return an object's bytes, None where there is none."""
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -19,6 +19,7 @@
     JobBook,
     JobJournal,
     JobKeeper,
+    JobSweeper,
     StoredJob,
 )
 from verbenawind.clock import Clock
@@ -80,7 +81,8 @@
 class NodeSettings(Value, frozen=True, kw_only=True):
     """What the parts need to know of this host.
 
-    ``order_gap_s`` is how far apart orders of two holders must be.
+    ``order_gap_s`` is how far apart orders of two holders must be; ``job_status_s`` for how long
+    a job may be read after its submission.
     """
 
     host: str
@@ -88,6 +90,7 @@
     peer_address: str
     max_row_bytes: int
     order_gap_s: float
+    job_status_s: float
 
 
 class Node:
@@ -169,6 +172,14 @@
         )
         self.hosts_feed.on_return(self.beats.view_returned)
         self.keeper = JobKeeper(self.book, journal, self.runner, self.beats, clock)
+        self.sweeper = JobSweeper(
+            self.book,
+            journal,
+            is_mine=self._sweeps,
+            store_ms=store_ms,
+            keep_s=settings.job_status_s,
+            clock=clock,
+        )
         self.jobs = BatchJobs(journal, self.book, self.runner, self.beats, store_ms, clock)
         self.lease = RowLease(
             store,
@@ -215,6 +226,7 @@
             ("beats", self.beats.run),
             ("runner", self.runner.run),
             ("keeper", self.keeper.run),
+            ("sweeper", self.sweeper.run),
             ("lease", self.lease.run),
             ("desk", self.desk.run),
         ):
@@ -320,6 +332,9 @@
 
     # Questions of the parts.
 
+    def _sweeps(self, job_id: str) -> bool:
+        return top(job_id, self.beats.claimants([]), 1) == [self._settings.host]
+
     def _lease_rank(self) -> int:
         order = top(_LEASE_KEY, self.beats.claimants([]), _RANKED_HOSTS)
         host = self._settings.host
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -88,6 +88,7 @@
                 peer_address=settings.peer_address,
                 max_row_bytes=settings.max_row_bytes,
                 order_gap_s=settings.order_gap_s,
+                job_status_s=settings.job_status_s,
             ),
             store=self.store,
             store_ms=self.store.store_ms,
--- a/src/verbenawind/platform/settings.py
+++ b/src/verbenawind/platform/settings.py
@@ -31,7 +31,6 @@
 class _Platform(_Section, frozen=True, kw_only=True):
     address: str
     row_bytes: int = 65536
-    blob_bytes: int = 8 * 1024 * 1024
 
 
 class _Bounds(_Section, frozen=True, kw_only=True):
@@ -41,6 +40,8 @@
     grace_s: float = 8
     # How long an engine that leaves goes on serving after it said so.
     drain_ms: float = 2500
+    # How long a batch job may be read after its submission.
+    status_s: float = 120
     # Whether engines check who orders them.
     fencing_required: bool = False
 
@@ -72,10 +73,10 @@
     metrics_address: str
     store_address: str
     max_row_bytes: int
-    max_object_bytes: int
     region_of_zone: dict[str, str]
     order_gap_s: float
     stop_grace_s: float
+    job_status_s: float
 
 
 def load_host_settings(path: str | None = None) -> HostSettings:
@@ -125,8 +126,8 @@
         metrics_address=f"{file.ip}:{first + 1}",
         store_address=file.platform.address,
         max_row_bytes=file.platform.row_bytes,
-        max_object_bytes=file.platform.blob_bytes,
         region_of_zone=dict(file.zones) | {file.zone: file.region},
         order_gap_s=file.bounds.lease_ms / _MS,
         stop_grace_s=file.bounds.grace_s,
+        job_status_s=file.bounds.status_s,
     )
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -178,6 +178,11 @@
         reply, _ = await self._call(call, timeout_s, direct_s=2 * self._direct_timeout_s)
         return None if reply.status == _NOT_FOUND else reply.body
 
+    async def drop_object(self, name: str, timeout_s: float) -> None:
+        """Remove an object; one that is absent is passed over."""
+        call = StoreCall(method="DELETE", target=f"/api/blob-drop/{quote(name, safe='')}")
+        await self._call(call, timeout_s, direct_s=2 * self._direct_timeout_s, writes=True)
+
     # Ways to the store.
 
     async def direct(self, call: StoreCall) -> StoreReply:
--- a/src/verbenawind/standins/row_store.py
+++ b/src/verbenawind/standins/row_store.py
@@ -246,6 +246,11 @@
         await self._reach(timeout_s)
         self._store.objects().setdefault(name, data)
 
+    async def drop_object(self, name: str, timeout_s: float) -> None:
+        """Remove an object."""
+        await self._reach(timeout_s)
+        self._store.objects().pop(name, None)
+
     async def get_object(self, name: str, timeout_s: float) -> bytes | None:
         """Return an object."""
         await self._reach(timeout_s)
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -32,6 +32,7 @@
 MODEL = "tuner"
 SERVICE = "engines"
 ORDER_GAP_S = 3.0
+STATUS_S = 120.0
 
 
 class PlainRegistry:
@@ -160,6 +161,7 @@
                 peer_address=f"{name}:1",
                 max_row_bytes=65536,
                 order_gap_s=ORDER_GAP_S,
+                job_status_s=STATUS_S,
             ),
             store=view,
             store_ms=self.store.store_ms,
--- a/tests/node/test_batches.py
+++ b/tests/node/test_batches.py
@@ -1,6 +1,6 @@
 """Tests of batch jobs over hosts, a row store and engines: whole, once and in place."""
 
-from node.fleet import HOST, MODEL, Fleet, check_whole, job, run_fleet
+from node.fleet import HOST, MODEL, STATUS_S, Fleet, check_whole, job, run_fleet
 from verbenawind.batches import JobState, ResultState
 from verbenawind.errors import Outcome, StoreUnavailable, UnknownResource
 
@@ -524,3 +524,43 @@
 
         for seed in range(6):
             run_fleet(work, seed=seed)
+
+
+class TestSweeping:
+    def test_closed_jobs_are_removed_once_nobody_may_read_them(self) -> None:
+        """A done job is readable for its time; after it nothing of the job is in the store."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=3)
+            first, second, _ = fleet.members.values()
+            submission = job(groups=3, events=20)
+            await fleet.submit(first, submission)
+            results = await fleet.collect(first, submission)
+            await fleet.clock.sleep(STATUS_S)
+            assert await fleet.results(second, submission.job_id) == results
+            tables = ("batch-jobs", "batch-results", "batch-tails", "batch-texts")
+            await fleet.until(
+                lambda: not any(fleet.store.table_parts(table) for table in tables), timeout_s=90.0
+            )
+            assert not fleet.store.objects()
+            await fleet.until(lambda: not second.node.book.closed_jobs())
+
+        run_fleet(work)
+
+    def test_open_jobs_stay(self) -> None:
+        """A job that is still worked on is not removed, however old it is."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=2, retention_s=1000.0)
+            first, _ = fleet.members.values()
+            for engine in fleet.engines.engines.values():
+                engine.dark = True
+            submission = job()
+            await fleet.submit(first, submission)
+            await fleet.clock.sleep(2 * STATUS_S)
+            assert fleet.store.table_parts("batch-jobs") == [submission.job_id]
+            for engine in fleet.engines.engines.values():
+                engine.dark = False
+            check_whole(submission, await fleet.collect(first, submission))
+
+        run_fleet(work)
--- a/tests/on_platform/wire.py
+++ b/tests/on_platform/wire.py
@@ -123,6 +123,9 @@
             return (412 if known else 200), b""
         if call == "blob-get":
             return (200, objects[name]) if name in objects else (404, b"")
+        if call == "blob-drop":
+            objects.pop(name, None)
+            return 200, b""
         return 400, b""
 
     def _transact(self, wire: Any) -> tuple[int, bytes]:
