--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -32,8 +32,9 @@
 
 
 def _free_ports(count: int) -> int:
-    """Return the first of some free ports in a row."""
-    for first in range(20_000 + os.getpid() % 5000, 60_000, count):
+    """Return the first of some free ports in a row, in a part of this process's own."""
+    begin = _FIRST_PORT + os.getpid() % _PARTS * _PART_PORTS
+    for first in range(begin, begin + _PART_PORTS, count):
         try:
             for port in range(first, first + count):
                 with socket.socket() as probe:
@@ -47,6 +48,10 @@
 
 
 _TAKEN: set[int] = set()
+# Runs beside each other take their ports from different parts.
+_FIRST_PORT = 20_000
+_PART_PORTS = 60
+_PARTS = 200
 
 
 class SoakHost:
