Judge a server's answer in one place

Plain requests and streams judged refusals and missing marks with the same lines; both call check_answer now.

--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -15,6 +15,7 @@
     Outcome,
     VerbenawindError,
 )
+from verbenawind.gateway.answers import check_answer
 from verbenawind.gateway.balance import choose
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest, Header
@@ -242,7 +243,7 @@
         answer: Answer | None = None
         try:
             answer = await self._port.send(backend.instance, attempt)
-            self._check(answer, backend)
+            check_answer(answer, backend.instance.instance_id)
             reply = await _held(answer)
             answer = reply.rest
         except (AdmissionRefused, BackendServerUnreachable) as error:
@@ -263,17 +264,6 @@
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
 
-    @staticmethod
-    def _check(answer: Answer, backend: Backend) -> None:
-        """Raise unless the answer is the server's own."""
-        name = backend.instance.instance_id
-        if answer.refused:
-            answer.close()
-            raise AdmissionRefused(f"server {name} refused the request with {answer.status}")
-        if not answer.signed:
-            answer.close()
-            raise BackendServerFailed(f"server {name} gave an unsigned {answer.status}")
-
     def _note(self, exchange: _Exchange, backend: Backend, error: VerbenawindError) -> None:
         self._log.info(
             "send_failed",
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -15,6 +15,7 @@
     Outcome,
     VerbenawindError,
 )
+from verbenawind.gateway.answers import check_answer
 from verbenawind.gateway.balance import choose
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest
@@ -134,13 +135,7 @@
             fresh_connection=True,
         )
         answer = await self._port.send(backend.instance, attempt)
-        name = backend.instance.instance_id
-        if answer.refused:
-            answer.close()
-            raise AdmissionRefused(f"server {name} refused the stream with {answer.status}")
-        if not answer.signed:
-            answer.close()
-            raise BackendServerFailed(f"server {name} gave an unsigned {answer.status}")
+        check_answer(answer, backend.instance.instance_id)
         return answer
 
     async def _events(
--- a/src/verbenawind/state/row_lease.py
+++ b/src/verbenawind/state/row_lease.py
@@ -61,6 +61,7 @@
         clock: Time source.
         boot_s: Time that also passes while the host is suspended.
         store_ms: The store's clock.
+        view_age_s: For how long the lease's table has not been heard of.
         rank: This host's place among the candidates, 0 for the first.
         rng: Jitter.
     """
