--- /dev/null
+++ b/tests/test_log_events.py
@@ -0,0 +1,137 @@
+"""Tests that the catalogue of log events says what the code writes."""
+
+import ast
+import logging
+from collections import defaultdict
+from collections.abc import Iterator, MutableMapping
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import structlog
+
+from node.fleet import MODEL, Fleet, check_whole, job, run_fleet
+from verbenawind.log_events import EVENTS, PLATFORM_EVENTS, PRODUCT_EVENTS, LineFields
+from verbenawind.reference import EVENTS_PAGE, render_events
+
+ROOT = Path(__file__).parents[1]
+LEVELS = {"debug", "info", "warning", "error", "exception"}
+
+
+def log_calls() -> Iterator[tuple[str, set[str], str]]:
+    """Yield event, fields and place of every call of a log in the sources."""
+    for path in sorted((ROOT / "src").rglob("*.py")):
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        for node in ast.walk(tree):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+                continue
+            if node.func.attr not in LEVELS or not node.args or "log" not in _source(node.func):
+                continue
+            event = ast.literal_eval(node.args[0])
+            fields: set[str] = set()
+            for keyword in node.keywords:
+                fields |= {keyword.arg} if keyword.arg else _keys(tree, keyword.value)
+            yield event, fields, f"{path.name}:{node.lineno}"
+
+
+def _source(function: ast.Attribute) -> str:
+    return ast.unparse(function.value)
+
+
+def _keys(tree: ast.Module, call: ast.expr) -> set[str]:
+    """Return the keys of the dictionary that a function of the same module returns."""
+    name = ast.unparse(call).partition("(")[0]
+    found = next(n for n in tree.body if isinstance(n, ast.FunctionDef) and n.name == name)
+    returned = next(n for n in ast.walk(found) if isinstance(n, ast.Return))
+    assert isinstance(returned.value, ast.Dict)
+    return {ast.literal_eval(key) for key in returned.value.keys if key is not None}
+
+
+class TestCatalogue:
+    def test_every_call_is_listed(self) -> None:
+        """Each event that the code writes is listed, with each of its fields."""
+        wrong = [
+            (
+                f"{place}: {event}: {sorted(fields - set(EVENTS[event].fields))}"
+                if event in EVENTS
+                else f"{place}: {event} is not listed"
+            )
+            for event, fields, place in log_calls()
+            if event not in EVENTS or not fields <= set(EVENTS[event].fields)
+        ]
+        assert not wrong
+
+    def test_nothing_else_is_listed(self) -> None:
+        """Each event and field of the catalogue is written somewhere, and no event twice."""
+        written: dict[str, set[str]] = defaultdict(set)
+        for event, fields, _ in log_calls():
+            written[event] |= fields
+        assert {name: set(event.fields) for name, event in EVENTS.items()} == written
+        assert not PLATFORM_EVENTS.keys() & PRODUCT_EVENTS.keys()
+        used = {field for event in EVENTS.values() for field in event.fields}
+        assert used == set(LineFields.__struct_fields__)
+
+    def test_committed_page_is_current(self) -> None:
+        """The operators' page is what the catalogue renders."""
+        page = ROOT / "docs" / "operators" / EVENTS_PAGE
+        assert page.read_text(encoding="utf-8") == render_events()
+
+
+@contextmanager
+def _all_lines() -> Iterator[list[MutableMapping[str, Any]]]:
+    """Collect the lines of every level, which other tests leave out."""
+    former = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG))
+    try:
+        with structlog.testing.capture_logs() as lines:
+            yield lines
+    finally:
+        structlog.configure(**former)
+
+
+class TestLinesOfRunningHosts:
+    def test_fields_have_the_types_that_are_listed(self) -> None:
+        """Over new weights, a killed host and a lost store every line has the listed types."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=3, engines=3)
+            first, second, _ = fleet.members.values()
+            for version in range(2, 5):
+                fleet.name_version(version)
+                submission = job(f"job-{version}", min_version=version - 1, step=version, groups=4)
+                await fleet.submit(first, submission)
+                await fleet.clock.sleep(0.4)
+                if version == 3:
+                    fleet.kill(await fleet.owner_of(submission.job_id))
+                    fleet.add_host("late")
+                if version == 4:
+                    second.view.cut = True
+                    await fleet.clock.sleep(1.0)
+                    second.view.cut = False
+                reader = next(m for m in fleet.members.values() if m is not second)
+                check_whole(submission, await fleet.collect(reader, submission))
+            await next(iter(fleet.members.values())).node.jobs.end("job-4")
+
+        with _all_lines() as lines:
+            run_fleet(work)
+        assert {line["event"] for line in lines} >= {
+            "job_accepted",
+            "job_claim",
+            "item_run",
+            "results_listed",
+            "order_planned",
+            "order_answered",
+            "engine_loaded",
+            "lease_acquired",
+            "job_ended",
+        }
+        for line in lines:
+            fields = {k: v for k, v in line.items() if k not in ("event", "log_level")}
+            try:
+                msgspec.convert(fields, LineFields)
+            except msgspec.ValidationError as error:
+                pytest.fail(f"{line}: {error}")
+            assert set(fields) <= set(EVENTS[line["event"]].fields), line
+        assert any(line.get("model") == MODEL for line in lines)
