Measure items' waits, groups against their deadline, loads and store calls

Cause: whether steps were whole in time, and what they waited for, could only be pieced together from log lines. Parts report durations to a port; the metrics keep histograms with bounds around the usual objectives. Servers are counted by belief, with the age of the oldest.

The metric of refusals, which nothing counted, is gone; error answers count them.

--- a/src/verbenawind/batches/listing.py
+++ b/src/verbenawind/batches/listing.py
@@ -1,6 +1,6 @@
 """Lists the results of owned jobs, and closes jobs whose results are all listed."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import structlog
@@ -8,7 +8,7 @@
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.journal import JobJournal
 from verbenawind.batches.owned_job import OwnedJob
-from verbenawind.batches.types import JobState
+from verbenawind.batches.types import ItemResult, JobState
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 
@@ -29,9 +29,10 @@
         book: Learns of jobs that are closed.
         clock: Time source.
         drop: Stops a job that is somebody else's, with the reason.
+        on_listed: Called with the results of each transaction.
     """
 
-    __slots__ = ("_book", "_clock", "_drop", "_journal", "_log", "listed")
+    __slots__ = ("_book", "_clock", "_drop", "_journal", "_log", "_on_listed", "listed")
 
     def __init__(
         self,
@@ -39,11 +40,13 @@
         book: JobBook,
         clock: Clock,
         drop: Callable[[OwnedJob, str], None],
+        on_listed: Callable[[OwnedJob, Sequence[ItemResult]], None],
     ) -> None:
         self._journal = journal
         self._book = book
         self._clock = clock
         self._drop = drop
+        self._on_listed = on_listed
         self._log = structlog.get_logger("batches")
         self.listed = 0
 
@@ -85,6 +88,7 @@
         job.tail = tail
         del job.finished[:count]
         self.listed += count
+        self._on_listed(job, batch[:count])
         self._log.info("results_listed", job_id=job.job_id, results=count, position=tail.listed)
 
     async def _close(self, job: OwnedJob) -> None:
--- /dev/null
+++ b/src/verbenawind/batches/loading.py
@@ -0,0 +1,100 @@
+"""Reads what the owner of a job needs to begin, or to go on where another has stopped."""
+
+from collections.abc import Iterable
+
+import structlog
+
+from verbenawind.batches.item_run import HeldText
+from verbenawind.batches.journal import JobJournal, KeptText, StoredJob, Tail
+from verbenawind.batches.types import BatchSubmission
+from verbenawind.clock import Clock
+from verbenawind.errors import StoreUnavailable
+from verbenawind.kernel.messages import Value
+
+__all__ = ["JobLoader", "LoadedJob"]
+
+_READ_TIMEOUT_S = 3.0
+_RETRY_S = 0.05
+
+
+class LoadedJob(Value, frozen=True, kw_only=True):
+    """A job as the store has it.
+
+    Attributes:
+        submission: The job as it was submitted.
+        tail: Where the next results go.
+        listed: Ids of the items that are listed, in order.
+        kept: Text of unfinished items that an earlier owner kept, by item.
+    """
+
+    submission: BatchSubmission
+    tail: Tail
+    listed: tuple[str, ...]
+    kept: dict[str, HeldText]
+
+
+class JobLoader:
+    """Reads jobs, and tries again while the store is away.
+
+    Args:
+        journal: The lasting record.
+        clock: Time source.
+    """
+
+    __slots__ = ("_clock", "_journal", "_log")
+
+    def __init__(self, journal: JobJournal, clock: Clock) -> None:
+        self._journal = journal
+        self._clock = clock
+        self._log = structlog.get_logger("batches")
+
+    async def load(self, stored: StoredJob, *, fresh: bool) -> LoadedJob:
+        """Return what the store has of a job; a *fresh* one has neither results nor texts."""
+        while True:
+            try:
+                return await self._load(stored, fresh)
+            except StoreUnavailable as error:
+                self._log.warning(
+                    "job_not_loaded", job_id=stored.record.job_id, reason=error.message
+                )
+                await self._clock.sleep(_RETRY_S)
+
+    async def _load(self, stored: StoredJob, fresh: bool) -> LoadedJob:
+        job_id = stored.record.job_id
+        submission = await self._journal.submission(job_id, _READ_TIMEOUT_S)
+        tail = Tail() if fresh else await self._journal.tail(job_id, _READ_TIMEOUT_S)
+        listed = await self._listed(job_id, tail.listed)
+        kept = [] if fresh else await self._journal.kept_texts(job_id, _READ_TIMEOUT_S)
+        return LoadedJob(
+            submission=submission,
+            tail=tail,
+            listed=tuple(listed),
+            kept=_assembled(kept, stored.record.min_version),
+        )
+
+    async def _listed(self, job_id: str, count: int) -> list[str]:
+        """Return the ids of the listed items, in order."""
+        listed: list[str] = []
+        while len(listed) < count:
+            found = await self._journal.results(job_id, len(listed), _READ_TIMEOUT_S)
+            if not found:
+                raise StoreUnavailable(
+                    f"job {job_id} has {len(listed)} of {count} results", effect_possible=False
+                )
+            listed += [result.item_id for result in found]
+        return listed
+
+
+def _assembled(texts: Iterable[KeptText], min_version: int) -> dict[str, HeldText]:
+    """Return the texts that an earlier owner kept, each up to its first gap, where they fit."""
+    held: dict[str, HeldText] = {}
+    for text in texts:
+        whole = held.setdefault(text.item_id, HeldText())
+        if text.first == len(whole.events):
+            whole.extend(text.events, text.last_event, text.last_version)
+            whole.versions.update(text.versions)
+    return {
+        item_id: text
+        for item_id, text in held.items()
+        if text.events and text.fits(min_version, single_version=False)
+    }
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -1,6 +1,7 @@
 """A job that this daemon runs: what is listed, what is held, and what is still to do."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Collection, Sequence
 
 from verbenawind.batches.item_run import HeldText
@@ -24,6 +25,7 @@
         "not_before_s",
         "rank",
         "task",
+        "was_started",
     )
 
     def __init__(self, item: BatchItem, rank: Rank, held: HeldText) -> None:
@@ -36,6 +38,7 @@
         self.moves = 0
         self.excluded: set[str] = set()
         self.not_before_s = 0.0
+        self.was_started = False
         self.task: asyncio.Task[None] | None = None
 
 
@@ -53,6 +56,8 @@
     """
 
     __slots__ = (
+        "_group_of",
+        "_unlisted",
         "committing",
         "finished",
         "finished_since_s",
@@ -91,6 +96,8 @@
             for item in submission.items
             if item.item_id not in done
         }
+        self._group_of = {item.item_id: item.group for item in submission.items}
+        self._unlisted = Counter(work.item.group for work in self.work.values())
         for item_id in (kept or {}).keys() & self.work.keys():
             self.work[item_id].kept_events = len(self.work[item_id].held.events)
 
@@ -104,6 +111,12 @@
         """Items that run nowhere."""
         return [work for work in self.work.values() if work.task is None]
 
+    def complete_groups(self, results: Sequence[ItemResult]) -> Sequence[str]:
+        """Take in results that are listed now, and return the groups that they complete."""
+        self._unlisted.subtract(self._group_of[result.item_id] for result in results)
+        touched = {self._group_of[result.item_id] for result in results}
+        return [group for group in sorted(touched) if self._unlisted[group] == 0]
+
     def finish(self, result: ItemResult, now_s: float) -> None:
         """Take an item out of the work; its result waits to be listed."""
         self.work.pop(result.item_id, None)
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import contextlib
-from collections import OrderedDict
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import msgspec
@@ -11,13 +10,16 @@
 
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.engine_view import EngineView
-from verbenawind.batches.item_run import HeldText, RunEnd, RunLimits, RunOutcome, run_item
-from verbenawind.batches.journal import JobJournal, KeptText, StoredJob, Tail
+from verbenawind.batches.item_run import RunLimits, run_item
+from verbenawind.batches.journal import JobJournal, StoredJob
 from verbenawind.batches.keeping import TextKeeper
+from verbenawind.batches.leftovers import Leftovers
 from verbenawind.batches.listing import ResultLister
+from verbenawind.batches.loading import JobLoader
 from verbenawind.batches.ordering import EngineChoice
+from verbenawind.batches.outcomes import ItemOutcomes, RunnerCounts
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
-from verbenawind.batches.types import BatchItem, ItemResult, JobState, ResultState
+from verbenawind.batches.types import ItemResult, JobState
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.gateway import (
@@ -28,33 +30,20 @@
     RouteTable,
     service_of,
 )
+from verbenawind.timings import Timing, Timings
 
-__all__ = ["BatchRunner", "RunnerCounts"]
+__all__ = ["BatchRunner"]
 
 _HAND_OVER_TIMEOUT_S = 3.0
-_READ_TIMEOUT_S = 3.0
 # The pause between looks at waiting items when nothing wakes the runner.
 _LOOK_S = 0.05
 # How long an engine may be silent before an item goes on elsewhere.
 _FIRST_EVENT_S = 1.0
 _STALL_S = 0.6
-_RETRY_S = 0.05
 # An item on a route without a retention is given up after so long.
 _DEFAULT_RETENTION_S = 3600.0
 # Moves of one item to faster engines.
 _MAX_MOVES = 3
-_MAX_HELD_TEXTS = 2000
-_MAX_RETURNING_GROUPS = 2000
-
-
-class RunnerCounts:
-    """Counts what the runner did, for the metrics."""
-
-    __slots__ = ("moved", "runs")
-
-    def __init__(self) -> None:
-        self.runs: dict[str, int] = {}
-        self.moved = 0
 
 
 class BatchRunner:
@@ -70,6 +59,7 @@
         newest_version: The newest named version of a model.
         current_engines: The engines of a service that are kept current for a model.
         store_ms: The store's clock.
+        timings: Takes in how long items and groups take.
         clock: Time source.
     """
 
@@ -85,6 +75,7 @@
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
         store_ms: Callable[[], int],
+        timings: Timings,
         clock: Clock,
     ) -> None:
         self.owner = owner
@@ -95,6 +86,7 @@
         self._routes = routes
         self._newest_version = newest_version
         self._store_ms = store_ms
+        self._timings = timings
         self._clock = clock
         self.jobs: dict[str, OwnedJob] = {}
         self._loading: set[str] = set()
@@ -102,12 +94,15 @@
         self._wake = asyncio.Event()
         self._engines = EngineView(directory, newest_version, current_engines, clock)
         self._texts_keeper = TextKeeper(journal, clock)
-        self._lister = ResultLister(journal, book, clock, self._drop)
-        self._texts: OrderedDict[str, HeldText] = OrderedDict()
-        self._unfinished_groups: OrderedDict[str, None] = OrderedDict()
+        self._loader = JobLoader(journal, clock)
+        self._lister = ResultLister(journal, book, clock, self._drop, self._listed)
+        self._leftovers = Leftovers()
+        self.counts = RunnerCounts()
+        self._outcomes = ItemOutcomes(
+            self._engines, newest_version, self._leftovers, self.counts, clock
+        )
         self.stopping = False
         self._log = structlog.get_logger("batches")
-        self.counts = RunnerCounts()
         book.on_change(self._job_changed)
         directory.on_change(self._wake.set)
 
@@ -168,16 +163,7 @@
         record = stored.record
         job_id = record.job_id
         try:
-            while True:
-                try:
-                    submission = await self._journal.submission(job_id, _READ_TIMEOUT_S)
-                    tail = Tail() if fresh else await self._journal.tail(job_id, _READ_TIMEOUT_S)
-                    listed = await self._listed(job_id, tail.listed)
-                    kept = [] if fresh else await self._journal.kept_texts(job_id, _READ_TIMEOUT_S)
-                    break
-                except StoreUnavailable as error:
-                    self._log.warning("job_not_loaded", job_id=job_id, reason=error.message)
-                    await self._clock.sleep(_RETRY_S)
+            loaded = await self._loader.load(stored, fresh=fresh)
         finally:
             self._loading.discard(job_id)
         known = self._book.get(job_id)
@@ -185,15 +171,15 @@
             stored = known.job
         if stored.record.owner != self.owner or stored.record.state is not JobState.OPEN:
             return
-        groups = {item.group for item in submission.items}
+        items = loaded.submission.items
         job = OwnedJob(
             stored,
-            submission,
-            listed=listed,
-            tail=tail,
-            held=self._held_texts(submission.items, record.min_version),
-            kept=_assembled(kept, record.min_version),
-            returning_groups=groups & self._unfinished_groups.keys(),
+            loaded.submission,
+            listed=loaded.listed,
+            tail=loaded.tail,
+            held=self._leftovers.take_texts(items, record.min_version),
+            kept=loaded.kept,
+            returning_groups=self._leftovers.unfinished({item.group for item in items}),
         )
         self.jobs[job_id] = job
         self._log.info(
@@ -201,36 +187,15 @@
             job_id=job_id,
             epoch=record.epoch,
             items=record.total,
-            listed=len(listed),
-            kept_texts=len({text.item_id for text in kept}),
+            listed=len(loaded.listed),
+            kept_texts=len(loaded.kept),
             step=record.step,
             model=record.model,
             min_version=record.min_version,
-            age_s=round((self._store_ms() - record.submitted_ms) / 1000, 3),
+            age_s=round(self._age_s(job), 3),
         )
         self._wake.set()
 
-    async def _listed(self, job_id: str, count: int) -> list[str]:
-        """Return the ids of the listed items, in order."""
-        listed: list[str] = []
-        while len(listed) < count:
-            found = await self._journal.results(job_id, len(listed), _READ_TIMEOUT_S)
-            if not found:
-                raise StoreUnavailable(
-                    f"job {job_id} has {len(listed)} of {count} results", effect_possible=False
-                )
-            listed += [result.item_id for result in found]
-        return listed
-
-    def _held_texts(self, items: Sequence[BatchItem], min_version: int) -> dict[str, HeldText]:
-        """Return the text that an earlier job left of these items, where its weights fit."""
-        return {
-            item.item_id: self._texts.pop(item.item_id)
-            for item in items
-            if item.item_id in self._texts
-            and self._texts[item.item_id].fits(min_version, single_version=False)
-        }
-
     def _job_changed(self, stored: StoredJob) -> None:
         """Stop a job that has ended or has another owner."""
         record = stored.record
@@ -253,16 +218,9 @@
             listed=job.tail.listed,
             unlisted=len(job.finished),
             unfinished=len(job.work),
-            age_s=round((self._store_ms() - job.stored.record.submitted_ms) / 1000, 3),
+            age_s=round(self._age_s(job), 3),
         )
-        for work in job.work.values():
-            self._unfinished_groups[work.item.group] = None
-            if work.held.last_event is not None:
-                self._texts[work.item.item_id] = work.held
-        while len(self._texts) > _MAX_HELD_TEXTS:
-            self._texts.popitem(last=False)
-        while len(self._unfinished_groups) > _MAX_RETURNING_GROUPS:
-            self._unfinished_groups.popitem(last=False)
+        self._leftovers.keep(job.work.values())
         job.cancel()
 
     async def _hand_over(self, job: OwnedJob) -> None:
@@ -313,12 +271,12 @@
         record = job.stored.record
         route = table.match(job.submission.host, work.item.path.partition("?")[0])
         if route is None:
-            self._terminate(job, work, "its route is gone")
+            self._outcomes.terminate(job, work, "its route is gone")
             return True
-        age_s = (self._store_ms() - record.submitted_ms) / 1000
+        age_s = self._age_s(job)
         remaining_s = route.retention_s - age_s if route.retention_s else _DEFAULT_RETENTION_S
         if remaining_s <= 0:
-            self._terminate(job, work, f"older than {route.retention_s} s")
+            self._outcomes.terminate(job, work, f"older than {route.retention_s} s")
             return True
         service = service_of(route, record.job_id)
         engines = self._engines.engines(
@@ -331,6 +289,9 @@
         work.task = self._spawn(
             self._run_item(job, work, route, backend, choice, remaining_s, list(engines))
         )
+        if not work.was_started:
+            work.was_started = True
+            self._timings.observe(Timing.ITEM_WAIT, age_s)
         # Counted at once, so that the next item of this look sees the load.
         backend.begin()
         work.task.add_done_callback(lambda _: backend.end())
@@ -396,74 +357,8 @@
             took_s=round(self._clock.monotonic_s() - started_s, 3),
         )
         self.counts.runs[outcome.end.value] = self.counts.runs.get(outcome.end.value, 0) + 1
-        if job.job_id in self.jobs and self.jobs[job.job_id] is job:
-            self._learn(job, work, route, backend, choice, outcome, held_before)
-
-    def _learn(
-        self,
-        job: OwnedJob,
-        work: ItemWork,
-        route: Route,
-        backend: Backend,
-        choice: EngineChoice,
-        outcome: RunOutcome,
-        held_before: int,
-    ) -> None:
-        """Finish an item, or decide what its end at one engine means for the next run."""
-        now_s = self._clock.monotonic_s()
-        name = backend.instance.instance_id
-        model = job.stored.record.model
-        if len(work.held.events) > held_before and work.held.last_version is not None:
-            backend.learn_version(model, work.held.last_version)
-        match outcome.end:
-            case RunEnd.WHOLE:
-                backend.succeeded(0.0)
-                self._finish(job, work)
-            case RunEnd.REFUSED:
-                if outcome.other_version and not choice.probing:
-                    newest_named = self._newest_version(model)
-                    backend.learn_version(model, max(newest_named, backend.versions.get(model, 0)))
-                self._engines.refused(name, probing=choice.probing)
-                work.not_before_s = now_s
-            case RunEnd.SLOW:
-                self.counts.moved += 1
-                work.moves += 1
-                work.excluded = {name}
-            case RunEnd.IMPOSSIBLE:
-                self._terminate(job, work, "the engine can never run it")
-            case RunEnd.FAILED:
-                work.failures += 1
-                work.excluded = {name}
-                if work.failures >= route.max_attempts:
-                    self._terminate(job, work, f"it failed {work.failures} times")
-            case RunEnd.TOO_OLD:
-                backend.learn_version(model, 0)
-                work.excluded = {name}
-            case RunEnd.UNREACHABLE | RunEnd.BROKEN | RunEnd.STALLED:
-                backend.failed()
-                work.excluded = {name}
-                work.not_before_s = now_s + (_RETRY_S if outcome.end is RunEnd.UNREACHABLE else 0)
-
-    def _finish(self, job: OwnedJob, work: ItemWork) -> None:
-        self._texts.pop(work.item.item_id, None)
-        result = ItemResult(
-            item_id=work.item.item_id,
-            state=ResultState.COMPLETED,
-            text=work.held.text,
-            versions=tuple(sorted(work.held.versions)),
-        )
-        job.finish(result, self._clock.monotonic_s())
-
-    def _terminate(self, job: OwnedJob, work: ItemWork, reason: str) -> None:
-        self._log.info(
-            "item_terminated",
-            job_id=job.job_id,
-            request_id=work.item.item_id,
-            reason=reason,
-            failures=work.failures,
-        )
-        result = ItemResult(item_id=work.item.item_id, state=ResultState.TERMINATED, text="")
-        job.finish(result, self._clock.monotonic_s())
+        if self.jobs.get(job.job_id) is job:
+            self._outcomes.learn(job, work, route, backend, choice, outcome, held_before)
 
     def _list_results(self) -> None:
         if self.stopping:
@@ -474,6 +369,21 @@
             if self._texts_keeper.is_due(job):
                 job.keeping = self._spawn(self._texts_keeper.keep(job))
 
+    def _listed(self, job: OwnedJob, results: Sequence[ItemResult]) -> None:
+        """Measure what has just been listed."""
+        now_s = self._clock.monotonic_s()
+        self._timings.observe(Timing.RESULT_LISTING, max(0.0, now_s - job.finished_since_s))
+        table = self._routes()
+        route = table.match(job.submission.host, job.submission.path) if table else None
+        for _ in job.complete_groups(results):
+            age_s = self._age_s(job)
+            self._timings.observe(Timing.GROUP_COMPLETION, age_s)
+            if route is not None and route.result_deadline_s:
+                self._timings.observe(Timing.GROUP_DEADLINE, age_s / route.result_deadline_s)
+
+    def _age_s(self, job: OwnedJob) -> float:
+        return max(0.0, (self._store_ms() - job.stored.record.submitted_ms) / 1000)
+
     async def _commit(self, job: OwnedJob) -> None:
         await self._lister.commit(job)
         self._wake.set()
@@ -488,18 +398,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.error("batch_task_failed", exc_info=error)
-
-
-def _assembled(texts: Iterable[KeptText], min_version: int) -> dict[str, HeldText]:
-    """Return the texts that an earlier owner kept, each up to its first gap, where they fit."""
-    held: dict[str, HeldText] = {}
-    for text in texts:
-        whole = held.setdefault(text.item_id, HeldText())
-        if text.first == len(whole.events):
-            whole.extend(text.events, text.last_event, text.last_version)
-            whole.versions.update(text.versions)
-    return {
-        item_id: text
-        for item_id, text in held.items()
-        if text.events and text.fits(min_version, single_version=False)
-    }
--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Routes opaque requests by host and path to registered backend servers."""
 
-from verbenawind.gateway.directory import Backend, Directory
+from verbenawind.gateway.directory import Backend, Belief, Directory
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest
 from verbenawind.gateway.routes import RouteTable, service_of
@@ -21,6 +21,7 @@
     "Attempt",
     "Backend",
     "BackendPort",
+    "Belief",
     "CallerRequest",
     "Directory",
     "EngineTraits",
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -1,13 +1,14 @@
 """The backend servers that are registered, and what this daemon has seen of each."""
 
 from collections.abc import Callable, Iterable, Sequence
+from enum import StrEnum
 
 import structlog
 
 from verbenawind.clock import Clock
 from verbenawind.gateway.types import Instance
 
-__all__ = ["Backend", "Directory"]
+__all__ = ["Backend", "Belief", "Directory"]
 
 # Entries that lapse while the registry's store is away are back within this time of its return.
 _RETURN_S = 2.0
@@ -21,6 +22,15 @@
 _FORGET_S = 5.0
 
 
+class Belief(StrEnum):
+    """What this daemon believes of a registered server."""
+
+    GOOD = "good"
+    SUSPECTED = "suspected"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
 class Backend:
     """One incarnation of a backend server, with its load and health as seen from here.
 
@@ -32,6 +42,7 @@
     __slots__ = (
         "_clock",
         "_failures",
+        "_heard_at_s",
         "_latency_s",
         "_measured_at_s",
         "_suspected_until_s",
@@ -51,6 +62,21 @@
         self._suspected_until_s = 0.0
         self._latency_s = 0.0
         self._measured_at_s = 0.0
+        self._heard_at_s = clock.monotonic_s()
+
+    @property
+    def belief(self) -> Belief:
+        """What is believed of the server, in one word."""
+        if self.gone_at_s is not None:
+            return Belief.REMOVED
+        if self.instance.draining:
+            return Belief.DRAINING
+        return Belief.SUSPECTED if self.suspected else Belief.GOOD
+
+    @property
+    def heard_age_s(self) -> float:
+        """Time since the server last answered or failed, or was registered."""
+        return self._clock.monotonic_s() - self._heard_at_s
 
     @property
     def suspected(self) -> bool:
@@ -75,6 +101,7 @@
         """Record an answer and the time that it took."""
         self._failures = 0
         self._suspected_until_s = 0.0
+        self._heard_at_s = self._clock.monotonic_s()
         known_s = self.latency_s
         self._latency_s = known_s + _LATENCY_GAIN * (latency_s - known_s) if known_s else latency_s
         self._measured_at_s = self._clock.monotonic_s()
@@ -89,7 +116,8 @@
         """Record a failure; the suspicion grows with each in a row."""
         length_s = min(_MAX_SUSPICION_S, _FIRST_SUSPICION_S * 2**self._failures)
         self._failures += 1
-        self._suspected_until_s = self._clock.monotonic_s() + length_s
+        self._heard_at_s = self._clock.monotonic_s()
+        self._suspected_until_s = self._heard_at_s + length_s
 
     def learn_version(self, model: str, version: int) -> None:
         """Record what the server itself says of a model's weights."""
--- a/src/verbenawind/metrics.py
+++ b/src/verbenawind/metrics.py
@@ -5,9 +5,32 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from verbenawind.timings import Timing
+
 __all__ = ["Metrics"]
 
-_WAIT_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 2.0, 10.0, 60.0]
+# Latency objectives lie between 0.1 and 0.5 s, those of batch jobs at some 10 s.
+_WAIT_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0]
+_LONG_BUCKETS_S = [0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.5, 9.0, 12.0, 30.0]
+_SHORT_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
+_RATIO_BUCKETS = [0.25, 0.5, 0.75, 0.9, 1.0, 1.1, 1.5, 2.0]
+_TIMINGS: Mapping[Timing, tuple[str, list[float]]] = {
+    Timing.ITEM_WAIT: ("From a job's submission to the first start of an item.", _LONG_BUCKETS_S),
+    Timing.RESULT_LISTING: (
+        "From the first finished result of a transaction to its commit.",
+        _SHORT_BUCKETS_S,
+    ),
+    Timing.GROUP_COMPLETION: (
+        "From a job's submission until a group is listed whole.",
+        _LONG_BUCKETS_S,
+    ),
+    Timing.GROUP_DEADLINE: (
+        "The same as a part of the time that the route gives results.",
+        _RATIO_BUCKETS,
+    ),
+    Timing.ENGINE_LOAD: ("From an order until the engine has the version.", _LONG_BUCKETS_S),
+    Timing.STORE_CALL: ("Calls of the store, with their repeats.", _SHORT_BUCKETS_S),
+}
 _AGE_BUCKETS_S = [1.0, 5.0, 15.0, 60.0, 180.0, 600.0]
 
 
@@ -22,12 +45,12 @@
         "_cross_region_bytes",
         "_error_answers",
         "_queue_wait",
-        "_refusals",
         "_registry",
         "_request_time",
         "_requests",
         "_samples",
         "_staleness_s",
+        "_timings",
         "_trainer_idle",
         "_values",
     )
@@ -50,9 +73,6 @@
         self._queue_wait = self._histogram(
             "queue_wait_seconds", "Wait between arrival and dispatch.", _WAIT_BUCKETS_S
         )
-        self._refusals = self._counter(
-            "refusals_total", "Generations refused or given up by routing, by error code."
-        )
         self._error_answers = self._counter("error_answers_total", "Error answers, by code.")
         self._cross_region_bytes = self._counter(
             "cross_region_bytes_total", "Bytes exchanged with backend servers of another region."
@@ -62,6 +82,8 @@
             "request_seconds", "Time from arrival to the answer's end.", _WAIT_BUCKETS_S
         )
 
+        self._timings: dict[Timing, Histogram] = {}
+
     def on_render(self, collector: Callable[[], None]) -> None:
         """Call *collector* before each exposition, to take in what a part counts by itself."""
         self._collectors.append(collector)
@@ -91,9 +113,12 @@
         """Record how long a request of one kind of work waited for dispatch."""
         self._queue_wait.add({"environment": environment, "kind": kind}, max(0.0, wait_s))
 
-    def count_refusal(self, code: str) -> None:
-        """Count a generation that routing refused or gave up, with its error code."""
-        self._refusals.inc({"code": code})
+    def observe(self, timing: Timing, value: float) -> None:
+        """Record a duration that a part has measured."""
+        histogram = self._timings.get(timing)
+        if histogram is None:
+            histogram = self._timings[timing] = self._histogram(timing.value, *_TIMINGS[timing])
+        histogram.add({}, value)
 
     def count_error_answer(self, code: str) -> None:
         """Count a request that was answered with an error code."""
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -41,6 +41,7 @@
 from verbenawind.state.following import FEED_PAUSE_S, FEED_WAIT_S, TableFollower
 from verbenawind.state.row_lease import RowLease
 from verbenawind.supervision import supervise
+from verbenawind.timings import Timings
 from verbenawind.weights.desk import OrderDesk, OrderPort
 
 __all__ = ["NamedVersion", "Node", "NodeSettings", "RegistryFormat"]
@@ -110,6 +111,7 @@
         clock: Time source.
         boot_s: Time that also passes while the host is suspended.
         rng: Jitter.
+        timings: Takes in measured durations.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         clock: Clock,
         boot_s: Callable[[], float],
         rng: Random,
+        timings: Timings,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -165,6 +168,7 @@
             newest_version=lambda model: self.newest.get(model, 1),
             current_engines=lambda model, service: self.desk.engines_of(model, service),
             store_ms=store_ms,
+            timings=timings,
             clock=clock,
         )
         self.beats = HostBeats(
@@ -205,6 +209,7 @@
             configuration=lambda: self.routes.configuration if self.routes else None,
             newest=self.newest,
             needed=self._needed_version,
+            timings=timings,
             clock=clock,
         )
         self.book.on_change(self._job_changed)
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable, MutableMapping
 from random import Random
 from typing import Any
@@ -14,6 +15,7 @@
 
 from verbenawind.clock import Clock, SystemClock, boot_time_s
 from verbenawind.errors import SettingsInvalid
+from verbenawind.gateway import Belief
 from verbenawind.http_server import HttpServer
 from verbenawind.logs import LogCounts, configure_logs
 from verbenawind.metrics import Metrics
@@ -76,6 +78,7 @@
             Http1Client(clock, _STORE_CONNECT_TIMEOUT_S),
             clock,
             _DIRECT_TIMEOUT_S,
+            self.metrics,
         )
         self._transport = WebSocketPeerTransport()
         self._relay_server = RelayServer(self.store.direct)
@@ -98,6 +101,7 @@
             clock=clock,
             boot_s=boot_time_s,
             rng=rng,
+            timings=self.metrics,
         )
         self.store.via = RelayClient(self._transport, self.node.peer_addresses, clock, rng)
         self.front = Front(
@@ -196,6 +200,7 @@
         for feed in ("operator", "servers", "hosts", "jobs"):
             age_s = getattr(self.node, f"{feed}_feed").age_s()
             put("feed_age_seconds", "Time since a feed was heard.", age_s, feed=feed)
+        self._collect_servers()
         put("jobs_owned", "Open jobs that are run here.", len(self.node.runner.jobs))
         put("results_listed", "Results listed here.", self.node.runner.results_listed)
         put("job_takeovers", "Jobs taken over from other daemons.", self.node.keeper.takeovers)
@@ -218,6 +223,32 @@
             for event, count in self._log_counts.omitted.items():
                 put("log_lines_omitted", "Log lines beyond their rate.", count, event=event)
 
+    def _collect_servers(self) -> None:
+        """Count the servers by what is believed of them, and how old that is."""
+        put = self.metrics.set_value
+        servers = list(self.node.directory.all())
+        beliefs = Counter((server.instance.service, server.belief) for server in servers)
+        for service in {server.instance.service for server in servers}:
+            for belief in Belief:
+                count = beliefs[service, belief]
+                help_text = "Registered servers, by what this daemon believes of them."
+                put("servers", help_text, count, service=service, belief=belief.value)
+            put(
+                "server_belief_age_seconds",
+                "The longest time for which nothing was heard of a server of the service.",
+                max(s.heard_age_s for s in servers if s.instance.service == service),
+                service=service,
+            )
+        for model, newest in self.node.newest.items():
+            held = [server.versions[model] for server in servers if model in server.versions]
+            put("version_named", "The newest named weights.", newest, model=model)
+            put(
+                "server_versions_behind",
+                "Versions by which the servers of a model are behind, all together.",
+                sum(max(0, newest - version) for version in held),
+                model=model,
+            )
+
 
 async def _answer(send: Send, status: int, body: bytes, content_type: str) -> None:
     headers = [
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -26,6 +26,7 @@
 )
 from verbenawind.plugins.http1_client import Http1Client, Http1Request
 from verbenawind.state.relay import RelayClient, StoreCall, StoreReply
+from verbenawind.timings import Timing, Timings
 
 __all__ = ["PlatformStore"]
 
@@ -79,15 +80,22 @@
         client: Connections.
         clock: Time source.
         direct_timeout_s: How long a direct call may take before a peer is asked.
+        timings: Takes in how long calls take.
     """
 
     def __init__(
-        self, address: str, client: Http1Client, clock: Clock, direct_timeout_s: float
+        self,
+        address: str,
+        client: Http1Client,
+        clock: Clock,
+        direct_timeout_s: float,
+        timings: Timings,
     ) -> None:
         self._address = address
         self._client = client
         self._clock = clock
         self._direct_timeout_s = direct_timeout_s
+        self._timings = timings
         self._direct_bad_until_s = 0.0
         self._reachable = True
         self._log = structlog.get_logger("store")
@@ -154,7 +162,7 @@
         """Return what has changed in a table since a version."""
         query = {"table": table, "after": after, "wait-ms": int(wait_s * 1000)}
         call = _get("/api/rows-feed", query)
-        reply, _ = await self._call(call, wait_s + _FEED_SLACK_S, direct_s=wait_s + _FEED_SLACK_S)
+        reply, _ = await self._try(call, wait_s + _FEED_SLACK_S, direct_s=wait_s + _FEED_SLACK_S)
         if reply.status == _GONE:
             raise HistoryLost(f"the feed of {table} cannot go on after {after}")
         page = self._page(reply.body)
@@ -226,6 +234,16 @@
 
     async def _call(
         self, call: StoreCall, timeout_s: float, *, direct_s: float = 0.0, writes: bool = False
+    ) -> tuple[StoreReply, bool]:
+        """Make a call of the store that should be answered at once, and measure it."""
+        started_s = self._clock.monotonic_s()
+        try:
+            return await self._try(call, timeout_s, direct_s=direct_s, writes=writes)
+        finally:
+            self._timings.observe(Timing.STORE_CALL, self._clock.monotonic_s() - started_s)
+
+    async def _try(
+        self, call: StoreCall, timeout_s: float, *, direct_s: float, writes: bool = False
     ) -> tuple[StoreReply, bool]:
         """Try the direct way and peers in turn until the time is over.
 
--- /dev/null
+++ b/src/verbenawind/timings.py
@@ -0,0 +1,33 @@
+"""Durations that parts of a daemon measure, for the metrics."""
+
+from enum import StrEnum
+from typing import Protocol
+
+__all__ = ["NoTimings", "Timing", "Timings"]
+
+
+class Timing(StrEnum):
+    """What is measured; in seconds but for the ratio."""
+
+    ITEM_WAIT = "item_wait_seconds"
+    RESULT_LISTING = "result_listing_seconds"
+    GROUP_COMPLETION = "group_completion_seconds"
+    GROUP_DEADLINE = "group_completion_deadline_ratio"
+    ENGINE_LOAD = "engine_load_seconds"
+    STORE_CALL = "store_call_seconds"
+
+
+class Timings(Protocol):
+    """Takes in measured durations."""
+
+    def observe(self, timing: Timing, value: float) -> None:
+        """Record one duration, or one ratio."""
+
+
+class NoTimings:
+    """Records nothing; for parts that run alone."""
+
+    __slots__ = ()
+
+    def observe(self, timing: Timing, value: float) -> None:
+        """Do nothing."""
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -11,6 +11,7 @@
 from verbenawind.clock import Clock
 from verbenawind.gateway import Backend, Directory, GatewayConfiguration, Instance
 from verbenawind.kernel.messages import Value
+from verbenawind.timings import Timing, Timings
 from verbenawind.weights.rolling import (
     EngineLoad,
     LoadOrder,
@@ -105,6 +106,7 @@
         configuration: What is in force, None while nothing is.
         newest: The newest named version of each model.
         needed: The oldest version that all open jobs of a model accept.
+        timings: Takes in how long loads take.
         clock: Time source.
     """
 
@@ -123,6 +125,7 @@
         "_retry_at_s",
         "_right",
         "_tasks",
+        "_timings",
         "_wake",
         "counts",
     )
@@ -136,6 +139,7 @@
         configuration: Callable[[], GatewayConfiguration | None],
         newest: dict[str, int],
         needed: Callable[[str], int],
+        timings: Timings,
         clock: Clock,
     ) -> None:
         self._directory = directory
@@ -144,6 +148,7 @@
         self._configuration = configuration
         self._newest = newest
         self._needed = needed
+        self._timings = timings
         self._clock = clock
         self._lags: dict[str, deque[int]] = {}
         self._load_s = _FIRST_LOAD_S
@@ -332,6 +337,7 @@
 
     def _done(self, name: str, pending: _Pending, now_s: float) -> None:
         took_s = now_s - pending.sent_at_s
+        self._timings.observe(Timing.ENGINE_LOAD, took_s)
         self._load_s += _LOAD_GAIN * (min(took_s, 2 * _FIRST_LOAD_S) - self._load_s)
         self._log.info(
             "engine_loaded",
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -1,6 +1,7 @@
 """Hosts over a row store in memory and engines that answer in virtual time."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import UTC, datetime
 from random import Random
@@ -26,6 +27,7 @@
 from verbenawind.standins.opaque_engines import OpaqueEngine, OpaqueEngines, text_of
 from verbenawind.standins.row_store import MemoryRowStore, StoreView
 from verbenawind.standins.world import run_virtual
+from verbenawind.timings import Timing
 
 HOST = "rollouts.example"
 PREFIX = "/batch/"
@@ -53,6 +55,16 @@
             return None
 
 
+class RecordedTimings:
+    """Keeps what the parts of every host measure."""
+
+    def __init__(self) -> None:
+        self.values: dict[Timing, list[float]] = defaultdict(list)
+
+    def observe(self, timing: Timing, value: float) -> None:
+        self.values[timing].append(value)
+
+
 class Member:
     """A host, and how it reaches the store."""
 
@@ -71,6 +83,7 @@
         self.store = MemoryRowStore(self.rng)
         self.engines = OpaqueEngines()
         self.members: dict[str, Member] = {}
+        self.timings = RecordedTimings()
 
     def add_engine(
         self,
@@ -171,6 +184,7 @@
             clock=self.clock,
             boot_s=self.clock.monotonic_s,
             rng=self.rng,
+            timings=self.timings,
         )
         node.start()
         member = self.members[name] = Member(name, node, view)
--- /dev/null
+++ b/tests/node/test_timings.py
@@ -0,0 +1,55 @@
+"""Tests of what hosts measure of batch jobs and loads."""
+
+import pytest
+
+from node.fleet import MODEL, Fleet, check_whole, job, run_fleet
+from verbenawind.timings import Timing
+
+
+class TestTimings:
+    def test_items_groups_and_listings_are_measured(self) -> None:
+        """Each item's wait and each group's completion are measured once, listings by commit."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start()
+            first, _ = fleet.members.values()
+            submission = job(groups=3, events=(5, 40, 10))
+            await fleet.submit(first, submission)
+            check_whole(submission, await fleet.collect(first, submission))
+            values = fleet.timings.values
+            assert len(values[Timing.ITEM_WAIT]) == len(submission.items)
+            completions = values[Timing.GROUP_COMPLETION]
+            assert len(completions) == 3 and max(completions) >= 40 * 0.03
+            ratios = [value / 7.5 for value in completions]
+            assert values[Timing.GROUP_DEADLINE] == pytest.approx(ratios)
+            assert 0.1 <= max(values[Timing.RESULT_LISTING]) < 0.5
+
+        run_fleet(work)
+
+    def test_takeover_counts_no_group_twice(self) -> None:
+        """A group whose results were listed by two owners is measured once, by the second."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=3)
+            first, *_ = fleet.members.values()
+            submission = job(groups=4, size=2, events=(5, 100, 100, 100))
+            await fleet.submit(first, submission)
+            await fleet.until(lambda: fleet.timings.values[Timing.GROUP_COMPLETION])
+            fleet.kill(await fleet.owner_of(submission.job_id))
+            reader = next(iter(fleet.members.values()))
+            check_whole(submission, await fleet.collect(reader, submission))
+            assert len(fleet.timings.values[Timing.GROUP_COMPLETION]) == 4
+
+        run_fleet(work)
+
+    def test_loads_are_measured(self) -> None:
+        """Each load is measured from its order to the engine's report."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(engines=2)
+            fleet.name_version(2)
+            await fleet.until(lambda: fleet.timings.values[Timing.ENGINE_LOAD])
+            assert fleet.timings.values[Timing.ENGINE_LOAD][0] == pytest.approx(0.95, abs=0.4)
+            assert any(e.versions[MODEL] == 2 for e in fleet.engines.engines.values())
+
+        run_fleet(work)
--- a/tests/on_platform/test_front.py
+++ b/tests/on_platform/test_front.py
@@ -269,8 +269,18 @@
             daemon = scene.daemons[0]
             response = await scene.raw(get, address=daemon.settings.metrics_address)
             text = response.body.decode()
-            for name in ("store_calls", "request_seconds", "feed_age_seconds", "jobs_owned"):
+            for name in (
+                "store_calls",
+                "store_call_seconds_bucket",
+                "request_seconds_bucket",
+                "feed_age_seconds",
+                "jobs_owned",
+                "server_belief_age_seconds",
+            ):
                 assert f"verbenawind_{name}" in text
+            service = next(iter(scene.daemons[0].node.routes.configuration.services))  # type: ignore[union-attr]
+            assert f'verbenawind_servers{{belief="good",service="{service}"}}' in text
+            assert f'verbenawind_servers{{belief="suspected",service="{service}"}} 0' in text
 
         run_scene(work)
 
