Keep runs off engines that load weights

A loading engine looks idle and fast. Its refusals held for 0.08 s, counted for starts only, and the engine that had been left was excluded.

Ruled out: full engines (outstanding was below the slots), other weights (421 is told apart).

Change: no run moves to an engine that has refused an item within 1 s, a run that left an engine for its pace may go back after a refusal, and an engine that refuses gets one item each 0.08 s until it accepts one.

--- a/src/verbenawind/batches/engine_view.py
+++ b/src/verbenawind/batches/engine_view.py
@@ -11,8 +11,10 @@
 
 __all__ = ["EngineView"]
 
-# After a refusal an engine gets no item for so long.
+# An engine that refuses usually changes its weights. It gets one item so often until it accepts.
 _REFUSED_S = 0.08
+# For so long after a refusal, which is about the time of a load, no run moves to the engine.
+_LOADING_S = 1.0
 # An engine that may have newer weights by now is asked this often.
 _PROBE_S = 0.12
 
@@ -33,6 +35,7 @@
         "_directory",
         "_newest_version",
         "_probed_at_s",
+        "_refused_at_s",
         "_refused_until_s",
         "paces",
     )
@@ -49,6 +52,7 @@
         self._current_engines = current_engines
         self._clock = clock
         self._refused_until_s: dict[str, float] = {}
+        self._refused_at_s: dict[str, float] = {}
         self._probed_at_s: dict[tuple[str, str], float] = {}
         self.paces = EnginePaces(clock)
 
@@ -111,6 +115,8 @@
         )
         if choice is not None and choice.probing:
             self._probed_at_s[choice.instance_id, model] = now_s
+        if choice is not None and self._refused_lately(choice.instance_id):
+            self._refused_until_s[choice.instance_id] = now_s + _REFUSED_S
         return choice
 
     def should_move(
@@ -123,12 +129,25 @@
     def refused(self, instance_id: str, *, probing: bool) -> None:
         """Record that an engine refused an item; a probe that is refused says nothing new."""
         if not probing:
-            self._refused_until_s[instance_id] = self._clock.monotonic_s() + _REFUSED_S
+            now_s = self._clock.monotonic_s()
+            self._refused_at_s[instance_id] = now_s
+            self._refused_until_s[instance_id] = now_s + _REFUSED_S
+
+    def accepted(self, instance_id: str) -> bool:
+        """Record that an engine runs an item, and return whether it had refused before."""
+        self._refused_until_s.pop(instance_id, None)
+        return self._refused_at_s.pop(instance_id, None) is not None
+
+    def _refused_lately(self, instance_id: str) -> bool:
+        refused_at_s = self._refused_at_s.get(instance_id)
+        return refused_at_s is not None and self._clock.monotonic_s() - refused_at_s < _LOADING_S
 
     def _has_room(self, name: str, record: JobRecord) -> bool:
         engine = self._directory.get(name)
         if engine is None or engine.suspected or engine.instance.draining:
             return False
+        if self._refused_lately(name):
+            return False
         if engine.outstanding >= engine.instance.slots:
             return False
         return not record.model or engine.versions.get(record.model, 0) >= record.min_version
--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -105,6 +105,7 @@
     clock: Clock,
     paces: EnginePaces,
     should_move: Callable[[RunPace], bool],
+    on_begun: Callable[[], None],
 ) -> RunOutcome:
     """Run an item until it is whole, or until it should go on at another engine.
 
@@ -118,6 +119,7 @@
         clock: Time source.
         paces: Learns the engine's time for an event.
         should_move: Whether another engine would finish the item sooner; asked after events.
+        on_begun: Called when the engine has accepted the item.
     """
     now_s = clock.monotonic_s()
     request = CallerRequest(
@@ -143,6 +145,7 @@
         outcome = await _refusal(answer, limits)
         if outcome is not None:
             return outcome
+        on_begun()
         return await _read(answer, held, backend, limits, clock, paces, should_move)
     except TimeoutError:
         return RunOutcome(end=RunEnd.STALLED, detail=f"silent for {limits.first_event_s} s")
--- a/src/verbenawind/batches/outcomes.py
+++ b/src/verbenawind/batches/outcomes.py
@@ -73,6 +73,7 @@
         model = job.stored.record.model
         if len(work.held.events) > held_before and work.held.last_version is not None:
             backend.learn_version(model, work.held.last_version)
+        excluded_for_pace, work.excluded_for_pace = work.excluded_for_pace, False
         match outcome.end:
             case RunEnd.WHOLE:
                 backend.succeeded(0.0)
@@ -82,11 +83,15 @@
                     newest_named = self._newest_version(model)
                     backend.learn_version(model, max(newest_named, backend.versions.get(model, 0)))
                 self._engines.refused(name, probing=choice.probing)
+                if excluded_for_pace:
+                    # Better to go on where it is slow than to wait.
+                    work.excluded = set()
                 work.not_before_s = now_s
             case RunEnd.SLOW:
                 self._counts.moved += 1
                 work.moves += 1
                 work.excluded = {name}
+                work.excluded_for_pace = True
             case RunEnd.IMPOSSIBLE:
                 self.terminate(job, work, "the engine can never run it")
             case RunEnd.FAILED:
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -17,6 +17,7 @@
 
     __slots__ = (
         "excluded",
+        "excluded_for_pace",
         "failures",
         "held",
         "item",
@@ -37,6 +38,8 @@
         self.kept_events: int | None = 0
         self.moves = 0
         self.excluded: set[str] = set()
+        # Whether the excluded engine works and is only slow.
+        self.excluded_for_pace = False
         self.not_before_s = 0.0
         self.was_started = False
         self.task: asyncio.Task[None] | None = None
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -340,6 +340,7 @@
                     work.moves < _MAX_MOVES
                     and self._engines.should_move(pace, others, record, len(work.held.events))
                 ),
+                on_begun=lambda: self._begun(backend),
             )
         finally:
             work.task = None
@@ -362,6 +363,11 @@
         if self.jobs.get(job.job_id) is job:
             self._outcomes.learn(job, work, route, backend, choice, outcome, held_before)
 
+    def _begun(self, backend: Backend) -> None:
+        """Let items that wait for an engine go there once it accepts again."""
+        if self._engines.accepted(backend.instance.instance_id):
+            self._wake.set()
+
     def _list_results(self) -> None:
         if self.stopping:
             return
