Move no run to an engine that is about to load

Ruled out: the time of the takeover (claimed at 0.03 s, texts kept up to event 33), the engines' paces (40 ms an event for everybody).

Change: the plan of loads is the same on every host, so a run moves only to engines that it will not load now. Whether an engine is faster is asked before whether it has room, which is dearer.

--- a/src/verbenawind/batches/engine_view.py
+++ b/src/verbenawind/batches/engine_view.py
@@ -26,6 +26,7 @@
         directory: The engines.
         newest_version: The newest named version of a model.
         current_engines: The engines of a service that are kept current for a model.
+        loads_soon: Whether an engine is about to load newer weights of a model.
         clock: Time source.
     """
 
@@ -33,6 +34,7 @@
         "_clock",
         "_current_engines",
         "_directory",
+        "_loads_soon",
         "_newest_version",
         "_probed_at_s",
         "_refused_at_s",
@@ -45,11 +47,13 @@
         directory: Directory,
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
+        loads_soon: Callable[[str, str], bool],
         clock: Clock,
     ) -> None:
         self._directory = directory
         self._newest_version = newest_version
         self._current_engines = current_engines
+        self._loads_soon = loads_soon
         self._clock = clock
         self._refused_until_s: dict[str, float] = {}
         self._refused_at_s: dict[str, float] = {}
@@ -123,8 +127,8 @@
         self, pace: RunPace, others: Sequence[str], record: JobRecord, events: int
     ) -> bool:
         """Return whether an engine with room for a run is so much faster that a move pays."""
-        free = [name for name in others if self._has_room(name, record)]
-        return self.paces.should_move(pace, free, events)
+        faster = (name for name in others if self.paces.should_move(pace, [name], events))
+        return any(self._has_room(name, record) for name in faster)
 
     def refused(self, instance_id: str, *, probing: bool) -> None:
         """Record that an engine refused an item; a probe that is refused says nothing new."""
@@ -150,7 +154,10 @@
             return False
         if engine.outstanding >= engine.instance.slots:
             return False
-        return not record.model or engine.versions.get(record.model, 0) >= record.min_version
+        if not record.model:
+            return True
+        fits = engine.versions.get(record.model, 0) >= record.min_version
+        return fits and not self._loads_soon(record.model, name)
 
 
 def _sharers(engine: Backend, current: int, engines: int) -> float:
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -58,6 +58,7 @@
         routes: The routes in force, None while there are none.
         newest_version: The newest named version of a model.
         current_engines: The engines of a service that are kept current for a model.
+        loads_soon: Whether an engine is about to load newer weights of a model.
         store_ms: The store's clock.
         timings: Takes in how long items and groups take.
         clock: Time source.
@@ -74,6 +75,7 @@
         routes: Callable[[], RouteTable | None],
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
+        loads_soon: Callable[[str, str], bool],
         store_ms: Callable[[], int],
         timings: Timings,
         clock: Clock,
@@ -92,7 +94,7 @@
         self._loading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
-        self._engines = EngineView(directory, newest_version, current_engines, clock)
+        self._engines = EngineView(directory, newest_version, current_engines, loads_soon, clock)
         self._texts_keeper = TextKeeper(journal, clock)
         self._loader = JobLoader(journal, clock)
         self._lister = ResultLister(journal, book, clock, self._drop, self._listed)
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -167,6 +167,7 @@
             routes=lambda: self.routes,
             newest_version=lambda model: self.newest.get(model, 1),
             current_engines=lambda model, service: self.desk.engines_of(model, service),
+            loads_soon=lambda model, instance_id: self.desk.loads_soon(model, instance_id),
             store_ms=store_ms,
             timings=timings,
             clock=clock,
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -20,6 +20,7 @@
     OrderReply,
     SwapMode,
     engines_of_model,
+    oldest_useful,
     plan_loads,
 )
 
@@ -201,6 +202,18 @@
         named = {name for engine in engines for name in engine.versions} & self._newest.keys()
         return engines_of_model(model, serving, models=len(named), lag=self._lag(model))
 
+    def loads_soon(self, model: str, instance_id: str) -> bool:
+        """Return whether whoever holds the right will order an engine to load a model now.
+
+        Every host plans alike, so that also hosts without the right can tell.
+        """
+        engine = self._directory.get(instance_id)
+        newest = self._newest.get(model)
+        if engine is None or newest is None:
+            return False
+        oldest = oldest_useful(newest, needed=self._needed(model), lag=self._lag(model))
+        return engine.versions.get(model, 0) < oldest
+
     def _lag(self, model: str) -> int:
         return statistics.median_low(self._lags.get(model, (_FIRST_LAG,)))
 
--- a/src/verbenawind/weights/rolling.py
+++ b/src/verbenawind/weights/rolling.py
@@ -22,6 +22,7 @@
     "PlannedLoad",
     "SwapMode",
     "engines_of_model",
+    "oldest_useful",
     "plan_loads",
 ]
 
@@ -107,7 +108,7 @@
     @property
     def oldest_useful(self) -> int:
         """The oldest version that open and coming jobs accept."""
-        return min(self.newest, max(self.needed, self.newest - self.lag))
+        return oldest_useful(self.newest, needed=self.needed, lag=self.lag)
 
 
 class LoadPlan(Value, frozen=True, kw_only=True):
@@ -119,6 +120,17 @@
     loading_limit: int
 
 
+def oldest_useful(newest: int, *, needed: int, lag: int) -> int:
+    """Return the oldest version that is not replaced at once.
+
+    Args:
+        newest: The newest named version.
+        needed: The oldest version that all open jobs accept.
+        lag: How many versions behind the newest batch jobs usually accept.
+    """
+    return min(newest, max(needed, newest - lag))
+
+
 def engines_of_model(
     model: str, engines: Sequence[str], *, models: int, lag: int
 ) -> frozenset[str]:
--- a/tests/batches/test_engine_view.py
+++ b/tests/batches/test_engine_view.py
@@ -57,8 +57,13 @@
                     versions={MODEL: 1},
                 )
             )
+        self.due: set[str] = set()
         self.view = EngineView(
-            self.directory, lambda _: 1, lambda _model, _service: frozenset(paces_s), self.clock
+            self.directory,
+            lambda _: 1,
+            lambda _model, _service: frozenset(paces_s),
+            lambda _model, name: name in self.due,
+            self.clock,
         )
         for name, pace_s in paces_s.items():
             self.view.paces.learn(name, pace_s)
@@ -120,6 +125,19 @@
 
         run_virtual(work())
 
+    def test_no_run_moves_to_an_engine_that_is_about_to_load(self) -> None:
+        """As soon as a version is named, runs keep off the engines that load it first."""
+
+        async def work() -> None:
+            pool = Pool(fast=0.01, slow=0.05, other=0.02)
+            pace = await pool.slow_run(0.05)
+            pool.due = {"fast", "other"}
+            assert not pool.view.should_move(pace, ["fast", "other"], RECORD, 40)
+            pool.due = {"fast"}
+            assert pool.view.should_move(pace, ["fast", "other"], RECORD, 40)
+
+        run_virtual(work())
+
     def test_run_that_was_moved_in_vain_goes_back(self) -> None:
         """An item that left a slow engine and was refused elsewhere may go on where it was."""
 
