Take less silence from owners whose hosts do not answer either

Change: a host that gives neither beats nor an answer within 0.3 s is taken for gone after 1.0 s of silence that the feed bears out, or 0.8 s after the table's return. A host that answers its peers keeps the longer time. A frozen or cut host may lose its job sooner; the conditional write decides, as before.

--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -1,7 +1,7 @@
 """Batch jobs: accepted once, run wherever engines have room, listed at fixed positions."""
 
 from verbenawind.batches.book import JobBook
-from verbenawind.batches.doubts import OwnerDoubts, PeerProbe
+from verbenawind.batches.doubts import OwnerDoubts, PeerAnswer, PeerProbe
 from verbenawind.batches.journal import JOBS_TABLE, JobJournal, StoredJob
 from verbenawind.batches.keeper import JobKeeper
 from verbenawind.batches.runner import BatchRunner
@@ -31,6 +31,7 @@
     "JobState",
     "JobSweeper",
     "OwnerDoubts",
+    "PeerAnswer",
     "PeerProbe",
     "ResultState",
     "ResultsPage",
--- a/src/verbenawind/batches/doubts.py
+++ b/src/verbenawind/batches/doubts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from enum import StrEnum
 from typing import Protocol
 
 import structlog
@@ -9,26 +10,37 @@
 from verbenawind.clock import Clock
 from verbenawind.state.beats import Beat, HostBeats
 
-__all__ = ["OwnerDoubts", "PeerProbe"]
+__all__ = ["OwnerDoubts", "PeerAnswer", "PeerProbe"]
 
 # A busy host beats each 0.5 s, and its beat takes a feed's pause to arrive.
 _DOUBT_S = 0.8
 # Between two questions to one owner.
 _ASK_PERIOD_S = 0.3
+# How long an answer that did not come counts.
+_ANSWER_HOLDS_S = 1.0
 _MAX_REFUSED = 1000
 
 
+class PeerAnswer(StrEnum):
+    """What became of a connection to a daemon's address."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NONE = "none"
+
+
 class PeerProbe(Protocol):
     """Tells a host without a daemon from one that cannot be reached."""
 
-    async def refuses(self, address: str) -> bool:
-        """Return whether a host refuses connections to a daemon's address; soon and always."""
+    async def ask(self, address: str) -> PeerAnswer:
+        """Return what a connection to a daemon's address leads to, within some 0.3 s."""
 
 
 class OwnerDoubts:
-    """Judges owners by their beats, and by what their hosts answer to a silent one's peers.
+    """Judges owners by their beats, and by what the hosts of silent ones answer.
 
-    Only a refused connection is proof: a host that does not answer may be frozen or cut off.
+    A refused connection proves that a daemon is gone. A host that does not answer may be frozen or
+    cut off; together with the silence of its beats, half as long a silence is enough.
 
     Args:
         beats: Who is there.
@@ -36,7 +48,16 @@
         clock: Time source.
     """
 
-    __slots__ = ("_asked_at_s", "_beats", "_clock", "_log", "_probe", "_refused", "_tasks")
+    __slots__ = (
+        "_asked_at_s",
+        "_beats",
+        "_clock",
+        "_log",
+        "_probe",
+        "_refused",
+        "_tasks",
+        "_unanswered",
+    )
 
     def __init__(self, beats: HostBeats, probe: PeerProbe, clock: Clock) -> None:
         self._beats = beats
@@ -44,6 +65,8 @@
         self._clock = clock
         self._asked_at_s: dict[str, float] = {}
         self._refused: OrderedDict[str, None] = OrderedDict()
+        # Owners whose hosts gave no answer to the latest question, with its time.
+        self._unanswered: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._log = structlog.get_logger("hosts")
 
@@ -55,7 +78,12 @@
             since_s: Since when it has owned work.
             ask: Whether this daemon should ask a silent owner.
         """
-        if owner_id in self._refused or self._beats.is_gone(owner_id, since_s):
+        now_s = self._clock.monotonic_s()
+        asked_at_s = self._unanswered.get(owner_id, float("-inf"))
+        unanswered = now_s - asked_at_s < _ANSWER_HOLDS_S
+        if owner_id in self._refused:
+            return True
+        if self._beats.is_gone(owner_id, since_s, unanswered=unanswered):
             return True
         beat = self._beats.silent_owner(owner_id, since_s, _DOUBT_S) if ask else None
         if beat is not None:
@@ -72,7 +100,17 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _learn(self, beat: Beat) -> None:
-        if not await self._probe.refuses(beat.address):
+        answer = await self._probe.ask(beat.address)
+        self._unanswered.pop(beat.owner_id, None)
+        if answer is PeerAnswer.NONE:
+            self._unanswered[beat.owner_id] = self._clock.monotonic_s()
+            self._log.info(
+                "owner_unanswered",
+                owner=beat.owner_id,
+                address=beat.address,
+                view_age_s=round(self._beats.view_age_s(), 2),
+            )
+        if answer is not PeerAnswer.REFUSED:
             return
         self._refused[beat.owner_id] = None
         while len(self._refused) > _MAX_REFUSED:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -212,6 +212,10 @@
     "owner_refuses": _event(
         "A silent owner's host refuses connections: its daemon is gone.", "owner address view_age_s"
     ),
+    "owner_unanswered": _event(
+        "A silent owner's host gives no answer: less silence is enough.",
+        "owner address view_age_s",
+    ),
     "beat_not_written": _event("A heartbeat could not be written.", "reason"),
     "beat_unreadable": _event("A host's row cannot be decoded.", "host error"),
     "request_sent": _event(
--- a/src/verbenawind/plugins/tcp_probe.py
+++ b/src/verbenawind/plugins/tcp_probe.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from verbenawind.batches import PeerAnswer
+
 __all__ = ["TcpProbe"]
 
 
@@ -9,7 +11,7 @@
     """Implements the PeerProbe port.
 
     Args:
-        timeout_s: How long a host may take; no answer says nothing.
+        timeout_s: How long a host may take.
     """
 
     __slots__ = ("_timeout_s",)
@@ -17,16 +19,16 @@
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
 
-    async def refuses(self, address: str) -> bool:
-        """Return whether the connection was refused."""
+    async def ask(self, address: str) -> PeerAnswer:
+        """Open a connection and close it again."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(self._timeout_s):
                 _, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
-            return True
+            return PeerAnswer.REFUSED
         except (OSError, TimeoutError):
-            # Cut off, frozen or overloaded: its silence decides.
-            return False
+            # Without power, cut off, frozen or overloaded; the caller says so in its log.
+            return PeerAnswer.NONE
         writer.close()
-        return False
+        return PeerAnswer.ACCEPTED
--- a/src/verbenawind/state/beats.py
+++ b/src/verbenawind/state/beats.py
@@ -32,6 +32,10 @@
 # owner, which comes at once.
 _SILENCE_S = 1.8
 _FIRST_SILENCE_S = 1.0
+# The same for a daemon whose host does not answer its peers either.
+_UNANSWERED_SILENCE_S = 1.0
+# After the table was out of reach a living daemon's beat is back within this time.
+_BEAT_RETURN_S = 0.8
 # An idle daemon that has not beaten for so long gets no work.
 _IDLE_SILENCE_S = 6.0
 # A view of the table older than this says nothing about anybody's silence.
@@ -86,9 +90,9 @@
         "_own",
         "_rng",
         "_seen",
-        "_silent_view_until_s",
         "_store",
         "_version",
+        "_view_returned_at_s",
         "view_age_s",
     )
 
@@ -112,7 +116,7 @@
         # Incarnations that another one of their host has replaced.
         self._former: set[str] = set()
         self._version = 0
-        self._silent_view_until_s = 0.0
+        self._view_returned_at_s = float("-inf")
         self._log = structlog.get_logger("hosts")
 
     @property
@@ -143,7 +147,7 @@
     def view_returned(self, silent_s: float) -> None:
         """Give everybody time to beat again after the table was out of reach."""
         if silent_s > _STALE_VIEW_S / 2:
-            self._silent_view_until_s = self._clock.monotonic_s() + _SILENCE_S
+            self._view_returned_at_s = self._clock.monotonic_s()
 
     def others(self) -> Sequence[Beat]:
         """Return the other daemons that have beaten and have not said that they leave."""
@@ -168,12 +172,13 @@
             and now_s - self._seen[beat.host].at_s <= _IDLE_SILENCE_S
         ]
 
-    def is_gone(self, owner_id: str, since_s: float) -> bool:
+    def is_gone(self, owner_id: str, since_s: float, *, unanswered: bool = False) -> bool:
         """Return whether the daemon that signs as *owner_id* is taken for gone.
 
         Args:
             owner_id: A daemon's incarnation.
             since_s: Since when it has owned work and so should have beaten often.
+            unanswered: Whether its host has just given its peers no answer.
         """
         host, _, incarnation = owner_id.partition("#")
         if host == self._own.host:
@@ -187,13 +192,13 @@
         if seen is not None and seen.beat.leaving:
             return True
         now_s = self._clock.monotonic_s()
-        if now_s < self._silent_view_until_s:
+        if now_s - self._view_returned_at_s < (_BEAT_RETURN_S if unanswered else _SILENCE_S):
             return False
         # Only silence that the feed has borne out counts.
         heard_s = now_s - self.view_age_s()
         if seen is None or seen.at_s <= since_s:
             return heard_s - since_s > _FIRST_SILENCE_S
-        return heard_s - seen.at_s > _SILENCE_S
+        return heard_s - seen.at_s > (_UNANSWERED_SILENCE_S if unanswered else _SILENCE_S)
 
     def silent_owner(self, owner_id: str, since_s: float, silence_s: float) -> Beat | None:
         """Return the last beat of an owner that has not been heard of for *silence_s*, else None.
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -9,7 +9,14 @@
 
 import msgspec
 
-from verbenawind.batches import JOBS_TABLE, BatchItem, BatchSubmission, ItemResult, JobRecord
+from verbenawind.batches import (
+    JOBS_TABLE,
+    BatchItem,
+    BatchSubmission,
+    ItemResult,
+    JobRecord,
+    PeerAnswer,
+)
 from verbenawind.clock import LoopClock
 from verbenawind.gateway import (
     EngineTraits,
@@ -202,12 +209,15 @@
         self.lost.add(name)
         self.kill(name)
 
-    async def refuses(self, address: str) -> bool:
+    async def ask(self, address: str) -> PeerAnswer:
         """Answer as the hosts would; implements the PeerProbe port."""
         name = address.partition(":")[0]
         self.asked.append(name)
-        await asyncio.sleep(0.3 if name in self.lost else 0.002)
-        return name not in self.members and name not in self.lost
+        if name in self.lost:
+            await asyncio.sleep(0.3)
+            return PeerAnswer.NONE
+        await asyncio.sleep(0.002)
+        return PeerAnswer.ACCEPTED if name in self.members else PeerAnswer.REFUSED
 
     async def start(self, *, hosts: int = 2, engines: int = 2, **changes: Any) -> None:
         """Start hosts and engines and wait until the hosts are ready."""
--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -55,19 +55,42 @@
 
         run_fleet(work)
 
-    def test_host_without_power_is_followed_by_its_silence(self) -> None:
-        """A host that answers nothing may be frozen; its jobs go on after the usual silence."""
+    @pytest.mark.parametrize("outage_s", [0.0, 7.0])
+    def test_host_without_power_is_followed_soon(self, outage_s: float) -> None:
+        """Neither beats nor answers come: a shorter silence is enough, also after an outage."""
 
         async def work(fleet: Fleet) -> None:
             await fleet.start(hosts=5, engines=3)
             first, *_ = fleet.members.values()
-            submission = job(groups=2, events=150)
+            submission = job(groups=2, events=400)
             await fleet.submit(first, submission)
             owner = await fleet.owner_of(submission.job_id)
             await fleet.clock.sleep(1.0)
+            fleet.store.faults.down = outage_s > 0
+            await fleet.clock.sleep(outage_s)
+            fleet.store.faults.down = False
+            await fleet.clock.sleep(0.07)
             fleet.lose(owner)
             took_s = await fleet.until(lambda: other_owner(fleet, submission.job_id, owner))
-            assert 1.2 < took_s < 3.5
+            assert took_s < 1.9
+            reader = next(iter(fleet.members.values()))
+            check_whole(submission, await fleet.collect(reader, submission))
+
+        run_fleet(work)
+
+    def test_silent_owner_that_answers_its_peers_is_given_time(self) -> None:
+        """An owner that cannot write beats but lives keeps its job for the longer silence."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(hosts=5, engines=3)
+            first, *_ = fleet.members.values()
+            submission = job(groups=2, events=150)
+            await fleet.submit(first, submission)
+            owner = await fleet.owner_of(submission.job_id)
+            await fleet.clock.sleep(1.0)
+            fleet.members[owner].view.cut = True
+            took_s = await fleet.until(lambda: other_owner(fleet, submission.job_id, owner))
+            assert 1.4 < took_s < 3.5
 
         run_fleet(work)
 
--- a/tests/test_tcp_probe.py
+++ b/tests/test_tcp_probe.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from verbenawind.batches import PeerAnswer
 from verbenawind.plugins.tcp_probe import TcpProbe
 
 
@@ -20,7 +21,8 @@
         async def work() -> None:
             server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
-            assert not await TcpProbe(5.0).refuses(f"127.0.0.1:{port}")
+            answer = await TcpProbe(5.0).ask(f"127.0.0.1:{port}")
+            assert answer is PeerAnswer.ACCEPTED
             server.close()
             await server.wait_closed()
 
@@ -28,12 +30,13 @@
 
     def test_port_without_a_daemon_refuses(self) -> None:
         """A host that lives and has nobody at the port refuses."""
-        assert asyncio.run(TcpProbe(5.0).refuses(f"127.0.0.1:{free_port()}"))
+        answer = asyncio.run(TcpProbe(5.0).ask(f"127.0.0.1:{free_port()}"))
+        assert answer is PeerAnswer.REFUSED
 
     def test_host_that_does_not_answer_proves_nothing(self) -> None:
         """A listener whose queue is full answers no connection; the probe gives up, undecided."""
 
-        async def work() -> bool:
+        async def work() -> PeerAnswer:
             with socket.socket() as listener:
                 listener.bind(("127.0.0.1", 0))
                 listener.listen(0)
@@ -43,9 +46,9 @@
                     client.setblocking(False)
                     client.connect_ex(address)
                 try:
-                    return await TcpProbe(0.2).refuses(f"127.0.0.1:{address[1]}")
+                    return await TcpProbe(0.2).ask(f"127.0.0.1:{address[1]}")
                 finally:
                     for client in waiting:
                         client.close()
 
-        assert not asyncio.run(work())
+        assert asyncio.run(work()) is PeerAnswer.NONE
