Put refused reads into their job's story, with the time the caller is told

Their lines named neither the job, so that `verbenawind trace JOB` left them out, nor the Retry-After that the caller got.

Change: request_failed names the job and the time that is sent. Answers are as before.

--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -80,7 +80,7 @@
     incarnation: Annotated[Any, Meta(description="Start of a host or server.")] = None
     index: Annotated[int, Meta(description="Sample of the group.")] = 0
     items: Annotated[int, Meta(description="Items of the job.")] = 0
-    job_id: Annotated[str, Meta(description="Batch job.")] = ""
+    job_id: Annotated[str | None, Meta(description="Batch job.")] = ""
     key: Annotated[str, Meta(description="Key of a row or request.")] = ""
     kind: Annotated[str, Meta(description="Kind of an entry or order.")] = ""
     known: Annotated[int, Meta(description="Hosts that are known.")] = 0
@@ -114,7 +114,7 @@
     position: Annotated[int, Meta(description="Results listed, these included if they are.")] = 0
     reason: Annotated[str, Meta(description="What decided it, or what failed.")] = ""
     remaining_s: Annotated[float, Meta(description="Until the request's deadline.")] = 0.0
-    request_id: Annotated[str, Meta(description="Request or batch item.")] = ""
+    request_id: Annotated[str | None, Meta(description="Request or batch item.")] = ""
     results: Annotated[int, Meta(description="Results in the call.")] = 0
     resume_after: Annotated[Any, Meta(description="Event after which a stream goes on.")] = None
     resumed_after: Annotated[int | None, Meta(description="Event after which the run went on.")] = (
@@ -228,7 +228,7 @@
     ),
     "request_failed": _event(
         "A request ends with an error of this daemon; without `path` from routing by document.",
-        "request_id path status code outcome error retry_after_s took_s reason",
+        "request_id job_id path status code outcome error retry_after_s took_s reason",
     ),
     "route_unknown": _event("No route fits.", "request_id host path configuration"),
     "caller_left": _event("The caller has closed its connection.", "path reason"),
--- a/src/verbenawind/platform/front.py
+++ b/src/verbenawind/platform/front.py
@@ -309,23 +309,26 @@
 
     async def _fail(self, exchange: Exchange, error: VerbenawindError) -> None:
         status = _status(error)
+        # What the caller is told, also where the error names no time.
+        retry_after_s = (error.retry_after_s or _RETRY_S) if status == 503 else None
         self._log.info(
             "request_failed",
             request_id=exchange.header(ATTEMPT_HEADER),
+            job_id=_job_of(exchange.path),
             path=exchange.path,
             status=status,
             code=error.code,
             outcome=error.outcome.value,
             error=error.message,
-            retry_after_s=error.retry_after_s,
+            retry_after_s=retry_after_s,
             took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 4),
         )
         if exchange.started:
             # The connection is closed without the answer's end, so that it can't look whole.
             raise error
         headers: list[tuple[str, str]] = []
-        if status == 503:
-            headers.append(("Retry-After", f"{error.retry_after_s or _RETRY_S:g}"))
+        if retry_after_s is not None:
+            headers.append(("Retry-After", f"{retry_after_s:g}"))
         if isinstance(error, InvalidRequest):
             exchange.closing = True
         await exchange.answer(status, error.message.encode(), headers)
@@ -354,6 +357,14 @@
     return 504 if isinstance(error, DeadlineExceeded) else 502
 
 
+def _job_of(path: str) -> str | None:
+    """Return the job that a call concerns, so that its story has the line."""
+    for prefix in (_JOBS_PATH, _ITEMS_PATH):
+        if path.startswith(prefix):
+            return path.removeprefix(prefix)
+    return None
+
+
 def _operation(exchange: Exchange) -> str:
     if exchange.path.startswith(_JOBS_PATH):
         return "end_job" if exchange.method == "DELETE" else "read_results"
--- /dev/null
+++ b/tests/log_lines.py
@@ -0,0 +1,22 @@
+"""Collects log lines in tests, which otherwise write errors only."""
+
+import logging
+from collections.abc import Iterator, MutableMapping
+from contextlib import contextmanager
+from typing import Any
+
+import structlog
+
+__all__ = ["all_lines"]
+
+
+@contextmanager
+def all_lines() -> Iterator[list[MutableMapping[str, Any]]]:
+    """Collect the lines of every level, which other tests leave out."""
+    former = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG))
+    try:
+        with structlog.testing.capture_logs() as lines:
+            yield lines
+    finally:
+        structlog.configure(**former)
--- a/tests/on_platform/test_front.py
+++ b/tests/on_platform/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from log_lines import all_lines
 from on_platform.scene import HOST, Scene, run_scene, submission
 
 
@@ -248,6 +249,22 @@
 
 
 class TestOperation:
+    def test_refused_read_is_in_its_job_s_story(self) -> None:
+        """A read that the store's outage fails is logged with its job and the time it is told."""
+
+        async def work(scene: Scene) -> None:
+            response = await scene.call("POST", "/batch/j", submission(), request_id="j")
+            assert response.status == 202
+            scene.store.busy = True
+            with all_lines() as lines:
+                refused = await scene.call("GET", "/api/lots/j?after=0", b"")
+            assert refused.status == 503
+            (line,) = [line for line in lines if line["event"] == "request_failed"]
+            assert line["job_id"] == "j"
+            assert line["retry_after_s"] == float(refused.headers["retry-after"])
+
+        run_scene(work)
+
     def test_ready_only_with_a_configuration(self) -> None:
         """A daemon is ready once it knows the configuration, and unready when it is to end."""
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -1,17 +1,14 @@
 """Tests that the catalogue of log events says what the code writes."""
 
 import ast
-import logging
 from collections import defaultdict
-from collections.abc import Iterator, MutableMapping
-from contextlib import contextmanager
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import msgspec
 import pytest
-import structlog
 
+from log_lines import all_lines
 from node.fleet import MODEL, Fleet, check_whole, job, run_fleet
 from verbenawind.log_events import EVENTS, PLATFORM_EVENTS, PRODUCT_EVENTS, LineFields
 from verbenawind.reference import EVENTS_PAGE, render_events
@@ -79,18 +76,6 @@
         assert page.read_text(encoding="utf-8") == render_events()
 
 
-@contextmanager
-def _all_lines() -> Iterator[list[MutableMapping[str, Any]]]:
-    """Collect the lines of every level, which other tests leave out."""
-    former = structlog.get_config()
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG))
-    try:
-        with structlog.testing.capture_logs() as lines:
-            yield lines
-    finally:
-        structlog.configure(**former)
-
-
 class TestLinesOfRunningHosts:
     def test_fields_have_the_types_that_are_listed(self) -> None:
         """Over new weights, a killed host and a lost store every line has the listed types."""
@@ -114,7 +99,7 @@
                 check_whole(submission, await fleet.collect(reader, submission))
             await next(iter(fleet.members.values())).node.jobs.end("job-4")
 
-        with _all_lines() as lines:
+        with all_lines() as lines:
             run_fleet(work)
         assert {line["event"] for line in lines} >= {
             "job_accepted",
