Let the soak start each host once, and end what it started

Cause of soak seed 208 (all results of job j0 gone, at all hosts): a daemon of an earlier soak. Two faults that hit one host at once (a kill and a SIGTERM) both ended by starting it; only one process was known, and the other outlived its soak. Its store's proxy had an address that a later soak's proxy got, so it followed that store, found jobs by names that it knew as closed long ago, and swept their results.

Ruled out: the product's sweeping and listing (no job_swept of the soak's own daemons, results listed and read by takeovers before), the store.

Change: a host starts only when none of its processes is there, under a lock. The seed is kept.

--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -75,7 +75,9 @@
     group: Annotated[str | int, Meta(description="Group of the item.")] = ""
     held: Annotated[int, Meta(description="Entries that are held.")] = 0
     held_tokens: Annotated[int, Meta(description="Tokens that are held.")] = 0
-    host: Annotated[str, Meta(description="Host; in `route_unknown` the one asked for.")] = ""
+    host: Annotated[
+        str, Meta(description="The host that is meant, where a line names another than its own.")
+    ] = ""
     idle_ratio: Annotated[float, Meta(description="Share of time for which a trainer waits.")] = 0.0
     incarnation: Annotated[Any, Meta(description="Start of a host or server.")] = None
     index: Annotated[int, Meta(description="Sample of the group.")] = 0
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -77,6 +77,8 @@
         self.process: asyncio.subprocess.Process | None = None
         self.stopped = False
         self._log_offset = 0
+        # Two faults at once may both end by starting the host.
+        self._starting = asyncio.Lock()
 
     @property
     def runs(self) -> bool:
@@ -84,7 +86,12 @@
         return self.process is not None and self.process.returncode is None and not self.stopped
 
     async def start(self) -> None:
-        """Start the daemon's process, after its former one has ended."""
+        """Start the daemon's process, unless one is there."""
+        async with self._starting:
+            if self.process is None or self.process.returncode is not None:
+                await self._start()
+
+    async def _start(self) -> None:
         if not self.link.address:
             await self.link.start()
             self._settings.write_text(
@@ -105,6 +112,7 @@
         }
         with self._log.open("ab") as log:
             self._log_offset = log.tell()
+            self.stopped = False
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -140,8 +148,9 @@
 
     async def stop(self) -> None:
         """Kill the process and close the link."""
-        if self.process is not None and self.process.returncode is None:
-            self.send(signal.SIGCONT)
-            self.process.kill()
-            await self.process.wait()
+        async with self._starting:
+            if self.process is not None and self.process.returncode is None:
+                self.send(signal.SIGCONT)
+                self.process.kill()
+                await self.process.wait()
         await self.link.stop()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 # Seeds that found a fault once, with a line on its cause.
 REGRESSIONS: dict[int, str] = {
     28: "SIGTERM met a process that still loaded its modules: no fault, the check was too wide",
+    208: "a daemon that two faults had started twice outlived its soak and met the next store",
 }
 
 
