--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 REGRESSIONS: dict[int, str] = {
     28: "SIGTERM met a process that still loaded its modules: no fault, the check was too wide",
     208: "a daemon that two faults had started twice outlived its soak and met the next store",
+    242: "as 208: an incarnation of h0 that this soak had not started swept the results",
 }
 
 
