--- a/src/verbenawind/batches/doubts.py
+++ b/src/verbenawind/batches/doubts.py
@@ -70,27 +70,25 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._log = structlog.get_logger("hosts")
 
-    def is_gone(self, owner_id: str, since_s: float, *, ask: bool) -> bool:
+    def is_gone(self, owner_id: str, since_s: float) -> bool:
         """Return whether an owner is taken for gone.
 
         Args:
             owner_id: A daemon's incarnation.
             since_s: Since when it has owned work.
-            ask: Whether this daemon should ask a silent owner.
         """
-        now_s = self._clock.monotonic_s()
-        asked_at_s = self._unanswered.get(owner_id, float("-inf"))
-        unanswered = now_s - asked_at_s < _ANSWER_HOLDS_S
         if owner_id in self._refused:
             return True
-        if self._beats.is_gone(owner_id, since_s, unanswered=unanswered):
-            return True
-        beat = self._beats.silent_owner(owner_id, since_s, _DOUBT_S) if ask else None
-        if beat is not None:
-            self._ask(beat)
-        return False
+        asked_at_s = self._unanswered.get(owner_id, float("-inf"))
+        unanswered = self._clock.monotonic_s() - asked_at_s < _ANSWER_HOLDS_S
+        return self._beats.is_gone(owner_id, since_s, unanswered=unanswered)
+
+    def silent(self, owner_id: str, since_s: float) -> Beat | None:
+        """Return the last beat of an owner that is worth asking, None for one that beats."""
+        return self._beats.silent_owner(owner_id, since_s, _DOUBT_S)
 
-    def _ask(self, beat: Beat) -> None:
+    def ask(self, beat: Beat) -> None:
+        """Ask the host of a silent owner, unless it was asked just now."""
         now_s = self._clock.monotonic_s()
         if now_s - self._asked_at_s.get(beat.host, float("-inf")) < _ASK_PERIOD_S:
             return
--- a/src/verbenawind/batches/engine_view.py
+++ b/src/verbenawind/batches/engine_view.py
@@ -127,7 +127,7 @@
         self, pace: RunPace, others: Sequence[str], record: JobRecord, events: int
     ) -> bool:
         """Return whether an engine with room for a run is so much faster that a move pays."""
-        faster = (name for name in others if self.paces.should_move(pace, [name], events))
+        faster = self.paces.faster(pace, others, events)
         return any(self._has_room(name, record) for name in faster)
 
     def refused(self, instance_id: str, *, probing: bool) -> None:
--- a/src/verbenawind/batches/keeper.py
+++ b/src/verbenawind/batches/keeper.py
@@ -9,6 +9,7 @@
 from verbenawind.batches.doubts import OwnerDoubts
 from verbenawind.batches.journal import JobJournal
 from verbenawind.batches.runner import BatchRunner
+from verbenawind.batches.types import JobRecord
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.kernel.rendezvous import top
@@ -92,19 +93,22 @@
             # Another daemon has placed it here, or it was dropped after a conflict.
             self._runner.take(known.job)
             return
-        delay_s = self._delay_s(record.job_id, record.owner)
-        is_near = delay_s < _ASKING_RANKS * _RANK_DELAY_S
-        if record.owner and not self._doubts.is_gone(
-            record.owner, known.owned_since_s, ask=is_near
-        ):
+        if record.owner and not self._doubts.is_gone(record.owner, known.owned_since_s):
             self._orphan_since_s.pop(record.job_id, None)
+            silent = self._doubts.silent(record.owner, known.owned_since_s)
+            if silent is not None and self._may_ask(record):
+                self._doubts.ask(silent)
             return
         now_s = self._clock.monotonic_s()
         since_s = self._orphan_since_s.setdefault(record.job_id, now_s)
-        if now_s - since_s >= delay_s:
+        if now_s - since_s >= self._delay_s(record.job_id, record.owner):
             self._orphan_since_s.pop(record.job_id, None)
             await self._claim(known)
 
+    def _may_ask(self, record: JobRecord) -> bool:
+        """Return whether this host is among the first claimants of a job."""
+        return self._delay_s(record.job_id, record.owner) < _ASKING_RANKS * _RANK_DELAY_S
+
     def _delay_s(self, job_id: str, owner: str) -> float:
         own = self._beats.own.host
         former = owner.partition("#")[0]
--- a/src/verbenawind/batches/paces.py
+++ b/src/verbenawind/batches/paces.py
@@ -1,7 +1,7 @@
 """How long engines take for an event, learned from the runs of this daemon."""
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from statistics import median
 
 from verbenawind.clock import Clock
@@ -90,26 +90,25 @@
             return slots
         return min(slots, _TRIAL_RUNS) if self._is_slow(instance_id, others) else slots
 
-    def should_move(self, run: RunPace, others: Collection[str], events: int) -> bool:
-        """Return whether one of the *others* is so much faster that a run should move there.
+    def faster(self, run: RunPace, others: Collection[str], events: int) -> Sequence[str]:
+        """Return those of the *others* that are so much faster that a run should move there.
 
         Args:
             run: The pace of the run.
-            others: Engines with room for it.
+            others: Engines.
             events: How many events of the item there are.
         """
         own_s = run.usual_s
+        if own_s is None:
+            return ()
         factor = _LONG_MOVE_FACTOR if events >= _LONG_RUN_EVENTS else _MOVE_FACTOR
-        return own_s is not None and self._is_slower(own_s, others, factor)
+        return self._faster(own_s, others, factor)
 
     def _is_slow(self, instance_id: str, others: Collection[str]) -> bool:
-        return self._is_slower(self._measured_s(instance_id), others)
+        return bool(self._faster(self._measured_s(instance_id), others, _MOVE_FACTOR))
 
-    def _is_slower(
-        self, pace_s: float, others: Collection[str], factor: float = _MOVE_FACTOR
-    ) -> bool:
-        paces = [other_s for name in others if (other_s := self._measured_s(name)) > 0]
-        return bool(paces) and pace_s > factor * min(paces)
+    def _faster(self, pace_s: float, others: Collection[str], factor: float) -> Sequence[str]:
+        return [name for name in others if 0 < factor * self._measured_s(name) < pace_s]
 
     def _is_stale(self, pace: _Pace) -> bool:
         return self._clock.monotonic_s() - pace.at_s > _STALE_S
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -16,7 +16,7 @@
 from verbenawind.batches.leftovers import Leftovers
 from verbenawind.batches.listing import ResultLister
 from verbenawind.batches.loading import JobLoader
-from verbenawind.batches.ordering import EngineChoice
+from verbenawind.batches.ordering import EngineChoice, Rank
 from verbenawind.batches.outcomes import ItemOutcomes, RunnerCounts
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.batches.types import ItemResult, JobState
@@ -251,12 +251,14 @@
         if table is None or self.stopping:
             return
         now_s = self._clock.monotonic_s()
-        waiting = [
-            (work.rank.awaited, self._due_ms(job, table), work.rank, job, work)
-            for job in self.jobs.values()
-            for work in job.waiting
-            if work.not_before_s <= now_s
-        ]
+        waiting: list[tuple[int, float, Rank, OwnedJob, ItemWork]] = []
+        for job in self.jobs.values():
+            due_ms = self._due_ms(job, table)
+            waiting += [
+                (work.rank.awaited, due_ms, work.rank, job, work)
+                for work in job.waiting
+                if work.not_before_s <= now_s
+            ]
         waiting.sort(key=lambda entry: entry[:3])
         full: set[tuple[str, int]] = set()
         for _, _, _, job, work in waiting:
--- a/tests/batches/test_paces.py
+++ b/tests/batches/test_paces.py
@@ -52,16 +52,16 @@
         """A run moves from a slow engine, and not for a small difference."""
         paces = EnginePaces(SetClock())
         paces.learn("fast", 0.04)
-        assert paces.should_move(run_of([0.15] * 5), ["fast"], 6)
-        assert not paces.should_move(run_of([0.06] * 5), ["fast"], 6)
-        assert not paces.should_move(run_of([0.15] * 5), [], 6)
+        assert paces.faster(run_of([0.15] * 5), ["fast"], 6)
+        assert not paces.faster(run_of([0.06] * 5), ["fast"], 6)
+        assert not paces.faster(run_of([0.15] * 5), [], 6)
 
     def test_long_run_moves_for_a_smaller_gain(self) -> None:
         """A run with many events behind it has as many before it, so that a third is enough."""
         paces = EnginePaces(SetClock())
         paces.learn("fast", 0.045)
-        assert paces.should_move(run_of([0.06] * 5), ["fast"], 30)
-        assert not paces.should_move(run_of([0.05] * 5), ["fast"], 30)
+        assert paces.faster(run_of([0.06] * 5), ["fast"], 30)
+        assert not paces.faster(run_of([0.05] * 5), ["fast"], 30)
 
     def test_slow_engine_is_tried_again_with_few_runs(self) -> None:
         """Once its measurement is old, a slow engine gets two runs, and all when they do well."""
