Write one row, read an owner's host and a job's age in one place each

Four writers built the same transaction for one row of a known version, four modules took an owner's id apart, three worked out a job's age. One function or method serves each; rows, answers and times are as before.

--- a/src/verbenawind/batches/journal.py
+++ b/src/verbenawind/batches/journal.py
@@ -14,7 +14,14 @@
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.ids import digest_hex
 from verbenawind.kernel.messages import Value
-from verbenawind.kernel.row_ports import RowCheck, RowId, RowStore, RowTransaction, RowWrite
+from verbenawind.kernel.row_ports import (
+    RowCheck,
+    RowId,
+    RowStore,
+    RowTransaction,
+    RowWrite,
+    replacement,
+)
 
 __all__ = ["JOBS_TABLE", "JobJournal", "KeptText", "StoredJob", "Tail", "decode_job"]
 
@@ -107,11 +114,7 @@
         row_id = _job_row(record.job_id)
         try:
             version = await self._store.commit(
-                RowTransaction(
-                    checks=(RowCheck(row_id=row_id, version=0),),
-                    writes=(RowWrite(row_id=row_id, value=msgspec.json.encode(record)),),
-                ),
-                timeout_s,
+                replacement(row_id, 0, msgspec.json.encode(record)), timeout_s
             )
         except RowConflict:
             known = await self.job(record.job_id, timeout_s)
@@ -141,11 +144,7 @@
         """Replace a job's record; raises RowConflict when it has changed meanwhile."""
         row_id = _job_row(record.job_id)
         version = await self._store.commit(
-            RowTransaction(
-                checks=(RowCheck(row_id=row_id, version=job.version),),
-                writes=(RowWrite(row_id=row_id, value=msgspec.json.encode(record)),),
-            ),
-            timeout_s,
+            replacement(row_id, job.version, msgspec.json.encode(record)), timeout_s
         )
         return StoredJob(record=record, version=version)
 
--- a/src/verbenawind/batches/keeper.py
+++ b/src/verbenawind/batches/keeper.py
@@ -13,7 +13,7 @@
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.kernel.rendezvous import top
-from verbenawind.state.beats import HostBeats
+from verbenawind.state.beats import HostBeats, host_of
 
 __all__ = ["JobKeeper", "claim_delay_s"]
 
@@ -111,7 +111,7 @@
 
     def _delay_s(self, job_id: str, owner: str) -> float:
         own = self._beats.own.host
-        former = owner.partition("#")[0]
+        former = host_of(owner)
         if former == own:
             return 0.0
         return claim_delay_s(job_id, own, self._beats.claimants([former]))
--- a/src/verbenawind/batches/placement.py
+++ b/src/verbenawind/batches/placement.py
@@ -8,6 +8,7 @@
 
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.rendezvous import owner
+from verbenawind.state.beats import host_of
 
 __all__ = ["JobPlace", "place_job"]
 
@@ -35,5 +36,5 @@
         return JobPlace(owner_id="", reason="the accepting daemon is about to end")
     if not view_is_fresh or not fellows:
         return JobPlace(owner_id=own_id, reason="no other daemon is known to live")
-    host_ids = {owner_id.partition("#")[0]: owner_id for owner_id in (*fellows, own_id)}
+    host_ids = {host_of(owner_id): owner_id for owner_id in (*fellows, own_id)}
     return JobPlace(owner_id=host_ids[owner(key, host_ids)], reason="jobs of its model run there")
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -394,7 +394,7 @@
                 self._timings.observe(Timing.GROUP_DEADLINE, age_s / route.result_deadline_s)
 
     def _age_s(self, job: OwnedJob) -> float:
-        return max(0.0, (self._store_ms() - job.stored.record.submitted_ms) / 1000)
+        return max(0.0, job.stored.record.age_s(self._store_ms()))
 
     async def _commit(self, job: OwnedJob) -> None:
         await self._lister.commit(job)
--- a/src/verbenawind/batches/sweeping.py
+++ b/src/verbenawind/batches/sweeping.py
@@ -59,7 +59,7 @@
                     await self._sweep(known)
 
     def _is_due(self, known: KnownJob) -> bool:
-        age_s = (self._store_ms() - known.record.submitted_ms) / 1000
+        age_s = known.record.age_s(self._store_ms())
         return known.record.state is not JobState.OPEN and age_s > self._keep_s + _MARGIN_S
 
     async def _sweep(self, known: KnownJob) -> None:
--- a/src/verbenawind/batches/types.py
+++ b/src/verbenawind/batches/types.py
@@ -78,6 +78,10 @@
     epoch: int
     state: JobState = JobState.OPEN
 
+    def age_s(self, store_ms: int) -> float:
+        """Return how long ago the job was submitted, when the store's clock reads *store_ms*."""
+        return (store_ms - self.submitted_ms) / 1000
+
 
 class ItemResult(Value, frozen=True, kw_only=True):
     """A listed result; ``versions`` are the weights that made its events."""
--- a/src/verbenawind/kernel/row_ports.py
+++ b/src/verbenawind/kernel/row_ports.py
@@ -14,6 +14,7 @@
     "RowTransaction",
     "RowWrite",
     "StoredRow",
+    "replacement",
 ]
 
 
@@ -58,6 +59,14 @@
     writes: tuple[RowWrite, ...]
 
 
+def replacement(row_id: RowId, version: int, value: bytes) -> RowTransaction:
+    """Return the transaction that replaces one row of a known version, 0 for a new row."""
+    return RowTransaction(
+        checks=(RowCheck(row_id=row_id, version=version),),
+        writes=(RowWrite(row_id=row_id, value=value),),
+    )
+
+
 class RowPage(Value, frozen=True, kw_only=True):
     """Rows of one moment; ``version`` is the newest of the store, ``store_ms`` its clock."""
 
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -343,8 +343,8 @@
 
     def _job_changed(self, job: StoredJob) -> None:
         record = job.record
-        age_s = (self._store_ms() - record.submitted_ms) / 1000
-        if record.model and record.state is JobState.OPEN and age_s < _NEW_JOB_S:
+        is_new = record.age_s(self._store_ms()) < _NEW_JOB_S
+        if record.model and record.state is JobState.OPEN and is_new:
             self.desk.learn_lag(record.model, record.min_version)
         self.desk.wake()
 
--- a/src/verbenawind/state/beats.py
+++ b/src/verbenawind/state/beats.py
@@ -13,16 +13,9 @@
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.kernel.messages import Location, Value
-from verbenawind.kernel.row_ports import (
-    RowCheck,
-    RowId,
-    RowStore,
-    RowTransaction,
-    RowWrite,
-    StoredRow,
-)
+from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement
 
-__all__ = ["HOSTS_TABLE", "Beat", "HostBeats"]
+__all__ = ["HOSTS_TABLE", "Beat", "HostBeats", "host_of"]
 
 HOSTS_TABLE = "hosts"
 _BUSY_PERIOD_S = 0.5
@@ -45,6 +38,11 @@
 _LEAST_WAIT_S = 0.001
 
 
+def host_of(owner_id: str) -> str:
+    """Return the host of a daemon's incarnation."""
+    return owner_id.partition("#")[0]
+
+
 class Beat(Value, frozen=True, kw_only=True):
     """A daemon's row; ``incarnation`` tells its process from earlier ones under its name."""
 
@@ -238,11 +236,7 @@
         for _ in range(2):
             try:
                 self._version = await self._store.commit(
-                    RowTransaction(
-                        checks=(RowCheck(row_id=row_id, version=self._version),),
-                        writes=(RowWrite(row_id=row_id, value=value),),
-                    ),
-                    _WRITE_TIMEOUT_S,
+                    replacement(row_id, self._version, value), _WRITE_TIMEOUT_S
                 )
                 return
             except RowConflict as conflict:
--- a/src/verbenawind/state/row_lease.py
+++ b/src/verbenawind/state/row_lease.py
@@ -15,14 +15,8 @@
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.kernel.messages import Value
-from verbenawind.kernel.row_ports import (
-    RowCheck,
-    RowId,
-    RowStore,
-    RowTransaction,
-    RowWrite,
-    StoredRow,
-)
+from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement
+from verbenawind.state.beats import host_of
 
 __all__ = ["RowLease"]
 
@@ -200,7 +194,7 @@
             return False
         if seen is None or seen.released:
             return rest_s >= delay_s
-        if _host(seen.owner) == _host(self._owner):
+        if host_of(seen.owner) == host_of(self._owner):
             # An earlier process of this host, which is one holder with this one.
             return True
         return rest_s >= _DURATION_S + delay_s
@@ -231,7 +225,7 @@
 
     def _wait_s(self, former: _Holding | None) -> float:
         """Return how long to wait before the first act."""
-        if former is None or _host(former.owner) == _host(self._owner) or not former.acted_ms:
+        if former is None or host_of(former.owner) == host_of(self._owner) or not former.acted_ms:
             return 0.0
         passed_s = (self._store_ms() - former.acted_ms) / 1000
         return max(0.0, self._act_gap_s + _CLOCK_MARGIN_S - passed_s)
@@ -264,10 +258,7 @@
 
     async def _write(self, holding: _Holding) -> None:
         version = await self._store.commit(
-            RowTransaction(
-                checks=(RowCheck(row_id=self._row_id, version=self._version),),
-                writes=(RowWrite(row_id=self._row_id, value=msgspec.json.encode(holding)),),
-            ),
+            replacement(self._row_id, self._version, msgspec.json.encode(holding)),
             _WRITE_TIMEOUT_S,
         )
         self._version = max(self._version, version)
@@ -285,7 +276,3 @@
         self._own = None
         self._ends_s = self._ends_boot_s = float("-inf")
         self._log.warning("lease_lost", epoch=epoch, reason=reason)
-
-
-def _host(owner: str) -> str:
-    return owner.partition("#")[0]
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -34,6 +34,7 @@
 from verbenawind.standins.opaque_engines import OpaqueEngine, OpaqueEngines, text_of
 from verbenawind.standins.row_store import MemoryRowStore, StoreView
 from verbenawind.standins.world import run_virtual
+from verbenawind.state.beats import host_of
 from verbenawind.timings import Timing
 
 HOST = "rollouts.example"
@@ -247,7 +248,7 @@
             row = self.store.row(RowId(table=JOBS_TABLE, part=job_id, key="job"))
             if row is None or row.value is None:
                 return ""
-            return msgspec.json.decode(row.value, type=JobRecord).owner.partition("#")[0]
+            return host_of(msgspec.json.decode(row.value, type=JobRecord).owner)
 
         await self.until(owner)
         return owner()
