Drop what nothing reads, and work out what is known once

NoTimings, an unused wire type and a count of kept texts are gone. Moves are counted as the runs that ended for their pace, so that the outcomes need no counter. The order desk's log lines use the plan's own inputs instead of working them out again, and its two starts of a task are one. A job's id is taken out of a call's path in one place.

--- a/src/verbenawind/batches/keeping.py
+++ b/src/verbenawind/batches/keeping.py
@@ -27,13 +27,12 @@
         clock: Time source.
     """
 
-    __slots__ = ("_clock", "_journal", "_log", "kept")
+    __slots__ = ("_clock", "_journal", "_log")
 
     def __init__(self, journal: JobJournal, clock: Clock) -> None:
         self._journal = journal
         self._clock = clock
         self._log = structlog.get_logger("batches")
-        self.kept = 0
 
     def is_due(self, job: OwnedJob) -> bool:
         """Return whether a job has text that should be kept now."""
@@ -77,7 +76,6 @@
             for work, text in texts[:count]:
                 work.kept_events = text.first + len(text.events)
             job.unsure_texts = ()
-            self.kept += count
         finally:
             job.keep_at_s = self._clock.monotonic_s() + pause_s
             job.keeping = None
--- a/src/verbenawind/batches/outcomes.py
+++ b/src/verbenawind/batches/outcomes.py
@@ -13,22 +13,12 @@
 from verbenawind.clock import Clock
 from verbenawind.gateway import Backend, Route
 
-__all__ = ["ItemOutcomes", "RunnerCounts"]
+__all__ = ["ItemOutcomes"]
 
 # The pause before an item goes on elsewhere when an engine could not be reached.
 _RETRY_S = 0.05
 
 
-class RunnerCounts:
-    """Counts what the runner did, for the metrics."""
-
-    __slots__ = ("moved", "runs")
-
-    def __init__(self) -> None:
-        self.runs: dict[str, int] = {}
-        self.moved = 0
-
-
 class ItemOutcomes:
     """Finishes items, gives them up, or marks where they may go on.
 
@@ -36,24 +26,21 @@
         engines: What is known of engines.
         newest_version: The newest named version of a model.
         leftovers: Texts of earlier jobs.
-        counts: For the metrics.
         clock: Time source.
     """
 
-    __slots__ = ("_clock", "_counts", "_engines", "_leftovers", "_log", "_newest_version")
+    __slots__ = ("_clock", "_engines", "_leftovers", "_log", "_newest_version")
 
     def __init__(
         self,
         engines: EngineView,
         newest_version: Callable[[str], int],
         leftovers: Leftovers,
-        counts: RunnerCounts,
         clock: Clock,
     ) -> None:
         self._engines = engines
         self._newest_version = newest_version
         self._leftovers = leftovers
-        self._counts = counts
         self._clock = clock
         self._log = structlog.get_logger("batches")
 
@@ -88,7 +75,6 @@
                     work.excluded = set()
                 work.not_before_s = now_s
             case RunEnd.SLOW:
-                self._counts.moved += 1
                 work.moves += 1
                 work.excluded = {name}
                 work.excluded_for_pace = True
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
@@ -10,14 +11,14 @@
 
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.engine_view import EngineView
-from verbenawind.batches.item_run import RunLimits, run_item
+from verbenawind.batches.item_run import RunEnd, RunLimits, run_item
 from verbenawind.batches.journal import JobJournal, StoredJob
 from verbenawind.batches.keeping import TextKeeper
 from verbenawind.batches.leftovers import Leftovers
 from verbenawind.batches.listing import ResultLister
 from verbenawind.batches.loading import JobLoader
 from verbenawind.batches.ordering import EngineChoice, Rank
-from verbenawind.batches.outcomes import ItemOutcomes, RunnerCounts
+from verbenawind.batches.outcomes import ItemOutcomes
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.batches.types import ItemResult, JobState
 from verbenawind.clock import Clock
@@ -32,7 +33,7 @@
 )
 from verbenawind.timings import Timing, Timings
 
-__all__ = ["BatchRunner"]
+__all__ = ["BatchRunner", "RunnerCounts"]
 
 _HAND_OVER_TIMEOUT_S = 3.0
 # The pause between looks at waiting items when nothing wakes the runner.
@@ -46,6 +47,20 @@
 _MAX_MOVES = 3
 
 
+class RunnerCounts:
+    """Counts runs by how they ended, for the metrics."""
+
+    __slots__ = ("runs",)
+
+    def __init__(self) -> None:
+        self.runs: Counter[RunEnd] = Counter()
+
+    @property
+    def moved(self) -> int:
+        """Runs that left their engine for a faster one."""
+        return self.runs[RunEnd.SLOW]
+
+
 class BatchRunner:
     """Runs owned jobs.
 
@@ -100,9 +115,7 @@
         self._lister = ResultLister(journal, book, clock, self._drop, self._listed)
         self._leftovers = Leftovers()
         self.counts = RunnerCounts()
-        self._outcomes = ItemOutcomes(
-            self._engines, newest_version, self._leftovers, self.counts, clock
-        )
+        self._outcomes = ItemOutcomes(self._engines, newest_version, self._leftovers, clock)
         self.stopping = False
         self._log = structlog.get_logger("batches")
         book.on_change(self._job_changed)
@@ -363,7 +376,7 @@
             versions=sorted(work.held.versions),
             took_s=round(self._clock.monotonic_s() - started_s, 3),
         )
-        self.counts.runs[outcome.end.value] = self.counts.runs.get(outcome.end.value, 0) + 1
+        self.counts.runs[outcome.end] += 1
         if self.jobs.get(job.job_id) is job:
             self._outcomes.learn(job, work, route, backend, choice, outcome, held_before)
 
--- a/src/verbenawind/platform/backends.py
+++ b/src/verbenawind/platform/backends.py
@@ -97,12 +97,6 @@
         self._response.close()
 
 
-class _WireReply(msgspec.Struct, rename="kebab"):
-    """An engine's answer to an order; ``seq`` counts the orders that it accepted."""
-
-    seq: int | None = None
-
-
 class _WireModel(msgspec.Struct):
     name: str
     version: int
--- a/src/verbenawind/platform/front.py
+++ b/src/verbenawind/platform/front.py
@@ -136,8 +136,9 @@
                 effect_possible=False,
                 retry_after_s=_UNINFORMED_RETRY_S,
             )
-        if exchange.path.startswith((_JOBS_PATH, _ITEMS_PATH)) and table.knows_host(exchange.host):
-            await self._serve_job_call(exchange)
+        job_id = _job_of(exchange.path)
+        if job_id is not None and table.knows_host(exchange.host):
+            await self._serve_job_call(exchange, job_id)
             return
         route = table.match(exchange.host, exchange.path)
         if route is None:
@@ -259,14 +260,12 @@
         await self._jobs.submit(submission, exchange.arrived_s + limit_s)
         await exchange.answer(202)
 
-    async def _serve_job_call(self, exchange: Exchange) -> None:
+    async def _serve_job_call(self, exchange: Exchange, job_id: str) -> None:
         query = parse_qs(exchange.query)
         if exchange.path.startswith(_ITEMS_PATH):
-            job_id = exchange.path.removeprefix(_ITEMS_PATH)
             body = await self._jobs.body(job_id, query.get("id", [""])[0])
             await exchange.answer(200, body, [("Content-Type", "application/octet-stream")])
             return
-        job_id = exchange.path.removeprefix(_JOBS_PATH)
         if exchange.method == "DELETE":
             await self._jobs.end(job_id)
             await exchange.answer(200)
--- a/src/verbenawind/timings.py
+++ b/src/verbenawind/timings.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-__all__ = ["NoTimings", "Timing", "Timings"]
+__all__ = ["Timing", "Timings"]
 
 
 class Timing(StrEnum):
@@ -22,12 +22,3 @@
 
     def observe(self, timing: Timing, value: float) -> None:
         """Record one duration, or one ratio."""
-
-
-class NoTimings:
-    """Records nothing; for parts that run alone."""
-
-    __slots__ = ()
-
-    def observe(self, timing: Timing, value: float) -> None:
-        """Do nothing."""
--- a/src/verbenawind/weights/desk.py
+++ b/src/verbenawind/weights/desk.py
@@ -3,8 +3,8 @@
 import asyncio
 import statistics
 from collections import deque
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Protocol
 
 import structlog
 
@@ -221,16 +221,18 @@
         """Return the orders to the engines of one service."""
         engines = self._directory.backends(service)
         named = {model for engine in engines for model in engine.versions} & self._newest.keys()
-        models = [self._model_engines(model, service, engines) for model in sorted(named)]
+        models = [self._model_engines(name, service, engines) for name in sorted(named)]
         plan = plan_loads(models, pool_size=len(engines))
+        by_name = {model.model: model for model in models}
         orders: list[tuple[Backend, LoadOrder]] = []
         for load in plan.loads:
             engine = self._directory.get(load.instance_id)
             if engine is None:
                 continue
+            model = by_name[load.model]
             order = LoadOrder(
                 model=load.model,
-                version=self._newest[load.model],
+                version=model.newest,
                 mode=mode,
                 fencing_number=self._right.epoch,
                 expected_orders=self._orders_of(engine),
@@ -245,8 +247,8 @@
                 mode=mode.value,
                 fencing_number=order.fencing_number,
                 expected_orders=order.expected_orders,
-                needed=self._needed(load.model),
-                lag=self._lag(load.model),
+                needed=model.needed,
+                lag=model.lag,
                 loading=plan.loading,
                 loading_limit=plan.loading_limit,
                 behind=plan.behind,
@@ -289,7 +291,10 @@
         now_s = self._clock.monotonic_s()
         name = engine.instance.instance_id
         self._pending[name] = _Pending(order.model, order.version, now_s, self._load_s)
-        task = asyncio.get_running_loop().create_task(self._give(engine, order))
+        self._spawn(self._give(engine, order))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -344,9 +349,7 @@
                 del self._pending[name]
             elif now_s >= pending.ask_at_s:
                 pending.ask_at_s = now_s + _ASK_S + _REPORT_TIMEOUT_S
-                task = asyncio.get_running_loop().create_task(self._ask(engine))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._spawn(self._ask(engine))
 
     def _done(self, name: str, pending: _Pending, now_s: float) -> None:
         took_s = now_s - pending.sent_at_s
--- a/tests/batches/test_engine_view.py
+++ b/tests/batches/test_engine_view.py
@@ -14,7 +14,7 @@
 from verbenawind.batches.journal import StoredJob
 from verbenawind.batches.leftovers import Leftovers
 from verbenawind.batches.ordering import EngineChoice, rank_items
-from verbenawind.batches.outcomes import ItemOutcomes, RunnerCounts
+from verbenawind.batches.outcomes import ItemOutcomes
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.batches.paces import RunPace
 from verbenawind.batches.types import JobRecord
@@ -71,8 +71,7 @@
         ranks = rank_items(submission, ())
         self.works = [ItemWork(i, ranks[i.item_id], HeldText()) for i in submission.items]
         self.job = OwnedJob(StoredJob(record=RECORD, version=1), submission)
-        self.counts = RunnerCounts()
-        self.outcomes = ItemOutcomes(self.view, lambda _: 1, Leftovers(), self.counts, self.clock)
+        self.outcomes = ItemOutcomes(self.view, lambda _: 1, Leftovers(), self.clock)
 
     def choose(self, work: ItemWork) -> str | None:
         """Return the engine that an item would start at."""
