Name the missing server once, and forget unanswered questions that are over

Both forwarders built the same error with the same time to return. Questions to owners that got no answer were kept for each lost incarnation; those that no longer count are dropped. The takeover tests share their beginning; their assertions are as they were.

--- a/src/verbenawind/batches/doubts.py
+++ b/src/verbenawind/batches/doubts.py
@@ -99,9 +99,14 @@
 
     async def _learn(self, beat: Beat) -> None:
         answer = await self._probe.ask(beat.address)
-        self._unanswered.pop(beat.owner_id, None)
+        now_s = self._clock.monotonic_s()
+        self._unanswered = {
+            owner_id: asked_at_s
+            for owner_id, asked_at_s in self._unanswered.items()
+            if owner_id != beat.owner_id and now_s - asked_at_s < _ANSWER_HOLDS_S
+        }
         if answer is PeerAnswer.NONE:
-            self._unanswered[beat.owner_id] = self._clock.monotonic_s()
+            self._unanswered[beat.owner_id] = now_s
             self._log.info(
                 "owner_unanswered",
                 owner=beat.owner_id,
--- a/src/verbenawind/gateway/balance.py
+++ b/src/verbenawind/gateway/balance.py
@@ -2,14 +2,23 @@
 
 from collections.abc import Collection, Sequence
 
+from verbenawind.errors import NoBackendServer
 from verbenawind.gateway.directory import Backend
 from verbenawind.kernel.messages import Location, Value
 
-__all__ = ["Choice", "choose"]
+__all__ = ["Choice", "choose", "no_server"]
 
 # Usual round trips, until measured latencies outweigh them.
 _OTHER_ZONE_S = 0.003
 _OTHER_REGION_S = 0.025
+_NO_SERVER_RETRY_S = 0.5
+
+
+def no_server(service: str) -> NoBackendServer:
+    """Return the error of a request that no server of its service could be chosen for."""
+    return NoBackendServer(
+        f"service {service} has no server to send to", retry_after_s=_NO_SERVER_RETRY_S
+    )
 
 
 class Choice(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -11,12 +11,11 @@
     BackendServerFailed,
     BackendServerUnreachable,
     DeadlineExceeded,
-    NoBackendServer,
     Outcome,
     VerbenawindError,
 )
 from verbenawind.gateway.answers import check_answer
-from verbenawind.gateway.balance import choose
+from verbenawind.gateway.balance import choose, no_server
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest, Header
 from verbenawind.gateway.types import Route, RouteKind
@@ -39,7 +38,6 @@
 _REFUSED_SENDS_FACTOR = 2
 # When a full service has usually room again.
 _FULL_RETRY_S = 0.2
-_NO_SERVER_RETRY_S = 0.5
 _MIN_SEND_S = 0.005
 # Shorter waits are over already.
 _LEAST_WAIT_S = 0.001
@@ -284,11 +282,7 @@
                 f"request {request.request_id} was not answered in time", outcome=outcome
             )
         if exchange.sends == 0:
-            raise NoBackendServer(
-                f"service {exchange.service} has no server to send to",
-                outcome=outcome,
-                retry_after_s=_NO_SERVER_RETRY_S,
-            )
+            raise no_server(exchange.service)
         if outcome is Outcome.NOT_RUN:
             raise AdmissionRefused(
                 f"{exchange.sends} servers of {exchange.service} refused the request",
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -11,12 +11,11 @@
     BackendServerFailed,
     BackendServerUnreachable,
     DeadlineExceeded,
-    NoBackendServer,
     Outcome,
     VerbenawindError,
 )
 from verbenawind.gateway.answers import check_answer
-from verbenawind.gateway.balance import choose
+from verbenawind.gateway.balance import choose, no_server
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Answer, Attempt, BackendPort, CallerRequest
 from verbenawind.gateway.types import Route
@@ -24,7 +23,6 @@
 
 __all__ = ["StreamForwarder"]
 
-_NO_SERVER_RETRY_S = 0.5
 # A stream that gives no event for so long goes on elsewhere, where it may.
 _STALL_S = 1.0
 _OK = 200
@@ -162,6 +160,4 @@
                 f"stream {request.request_id} was not answered in time",
                 outcome=Outcome.MAY_HAVE_RUN,
             )
-        return NoBackendServer(
-            f"service {service} has no server to send to", retry_after_s=_NO_SERVER_RETRY_S
-        )
+        return no_server(service)
--- a/tests/node/test_takeover.py
+++ b/tests/node/test_takeover.py
@@ -3,6 +3,20 @@
 import pytest
 
 from node.fleet import Fleet, check_whole, job, run_fleet
+from verbenawind.batches import BatchSubmission
+
+
+async def run_job(
+    fleet: Fleet, *, hosts: int = 5, events: int, before_s: float = 1.0
+) -> tuple[BatchSubmission, str]:
+    """Start a fleet and a job, and return the job and its owner after some time."""
+    await fleet.start(hosts=hosts, engines=3)
+    first, *_ = fleet.members.values()
+    submission = job(groups=2, events=events)
+    await fleet.submit(first, submission)
+    owner = await fleet.owner_of(submission.job_id)
+    await fleet.clock.sleep(before_s)
+    return submission, owner
 
 
 def other_owner(fleet: Fleet, job_id: str, former: str) -> bool:
@@ -19,12 +33,7 @@
         """A host that refuses connections has no daemon; its jobs go on without further silence."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=5, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=150)
-            await fleet.submit(first, submission)
-            owner = await fleet.owner_of(submission.job_id)
-            await fleet.clock.sleep(1.0 + seed * 0.13)
+            submission, owner = await run_job(fleet, events=150, before_s=1.0 + seed * 0.13)
             fleet.kill(owner)
             took_s = await fleet.until(lambda: other_owner(fleet, submission.job_id, owner))
             assert took_s < 1.2
@@ -37,12 +46,7 @@
         """The store is away for 7 s and the owner is killed just after: no time is lost twice."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=5, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=400)
-            await fleet.submit(first, submission)
-            owner = await fleet.owner_of(submission.job_id)
-            await fleet.clock.sleep(1.0)
+            submission, owner = await run_job(fleet, events=400)
             fleet.store.faults.down = True
             await fleet.clock.sleep(7.0)
             fleet.store.faults.down = False
@@ -60,12 +64,7 @@
         """Neither beats nor answers come: a shorter silence is enough, also after an outage."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=5, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=400)
-            await fleet.submit(first, submission)
-            owner = await fleet.owner_of(submission.job_id)
-            await fleet.clock.sleep(1.0)
+            submission, owner = await run_job(fleet, events=400)
             fleet.store.faults.down = outage_s > 0
             await fleet.clock.sleep(outage_s)
             fleet.store.faults.down = False
@@ -82,12 +81,7 @@
         """An owner that cannot write beats but lives keeps its job for the longer silence."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=5, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=150)
-            await fleet.submit(first, submission)
-            owner = await fleet.owner_of(submission.job_id)
-            await fleet.clock.sleep(1.0)
+            submission, owner = await run_job(fleet, events=150)
             fleet.members[owner].view.cut = True
             took_s = await fleet.until(lambda: other_owner(fleet, submission.job_id, owner))
             assert 1.4 < took_s < 3.5
@@ -100,11 +94,7 @@
         """While the store is away owners are asked, answer, and keep their jobs."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=4, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=400)
-            await fleet.submit(first, submission)
-            owner = await fleet.owner_of(submission.job_id)
+            submission, owner = await run_job(fleet, hosts=4, events=400, before_s=0.0)
             fleet.store.faults.down = True
             await fleet.clock.sleep(6.0)
             assert owner in fleet.asked
@@ -120,11 +110,7 @@
         """In a fleet of many hosts only the first claimants of a job ask, a few times a second."""
 
         async def work(fleet: Fleet) -> None:
-            await fleet.start(hosts=20, engines=3)
-            first, *_ = fleet.members.values()
-            submission = job(groups=2, events=400)
-            await fleet.submit(first, submission)
-            await fleet.clock.sleep(1.0)
+            await run_job(fleet, hosts=20, events=400)
             fleet.store.faults.down = True
             await fleet.clock.sleep(4.0)
             fleet.store.faults.down = False
