--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -1,6 +1,7 @@
 """Runs one item at one engine, from the events that are already held."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 
@@ -11,7 +12,7 @@
 from verbenawind.gateway import Answer, Attempt, Backend, BackendPort, CallerRequest
 from verbenawind.kernel.messages import Value
 
-__all__ = ["HeldText", "RunEnd", "RunLimits", "RunOutcome", "run_item"]
+__all__ = ["HeldText", "RunEnd", "RunLimits", "RunOutcome", "RunnerCounts", "run_item"]
 
 _OK = 200
 _SERVER_ERROR = 500
@@ -33,6 +34,20 @@
     TOO_OLD = "too_old"
 
 
+class RunnerCounts:
+    """Counts runs by how they ended, for the metrics."""
+
+    __slots__ = ("runs",)
+
+    def __init__(self) -> None:
+        self.runs: Counter[RunEnd] = Counter()
+
+    @property
+    def moved(self) -> int:
+        """Runs that left their engine for a faster one."""
+        return self.runs[RunEnd.SLOW]
+
+
 class RunOutcome(Value, frozen=True, kw_only=True):
     """A run's end and what it was read from.
 
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
@@ -11,7 +10,7 @@
 
 from verbenawind.batches.book import JobBook
 from verbenawind.batches.engine_view import EngineView
-from verbenawind.batches.item_run import RunEnd, RunLimits, run_item
+from verbenawind.batches.item_run import RunLimits, RunnerCounts, run_item
 from verbenawind.batches.journal import JobJournal, StoredJob
 from verbenawind.batches.keeping import TextKeeper
 from verbenawind.batches.leftovers import Leftovers
@@ -33,7 +32,7 @@
 )
 from verbenawind.timings import Timing, Timings
 
-__all__ = ["BatchRunner", "RunnerCounts"]
+__all__ = ["BatchRunner"]
 
 _HAND_OVER_TIMEOUT_S = 3.0
 # The pause between looks at waiting items when nothing wakes the runner.
@@ -47,20 +46,6 @@
 _MAX_MOVES = 3
 
 
-class RunnerCounts:
-    """Counts runs by how they ended, for the metrics."""
-
-    __slots__ = ("runs",)
-
-    def __init__(self) -> None:
-        self.runs: Counter[RunEnd] = Counter()
-
-    @property
-    def moved(self) -> int:
-        """Runs that left their engine for a faster one."""
-        return self.runs[RunEnd.SLOW]
-
-
 class BatchRunner:
     """Runs owned jobs.
 
