Drain connections whose request is rejected before it has been read

Cause: the server closed the connection while bytes of the caller were unread, so the kernel reset it, and a caller that was still sending could lose the 431, 413, 400 or 503 (the flaky TestBadInput.test_large_head_is_refused of the issue). Ruled out: the status itself, which was always written; a wrong limit. Conclusion: early rejections reach their callers.

--- a/src/verbenawind/http_server.py
+++ b/src/verbenawind/http_server.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.h11_impl import STATUS_PHRASES, H11Protocol
 
 from verbenawind.errors import Outcome
+from verbenawind.orderly_close import OrderlyTransport
 
 __all__ = ["HttpServer"]
 
@@ -82,13 +83,17 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first request head; refuse connections beyond the limit."""
-        super().connection_made(transport)  # type: ignore[arg-type]
+        self._orderly = OrderlyTransport(cast(asyncio.Transport, transport), self._has_unread_input)
+        super().connection_made(self._orderly)
         if self._max_connections is not None and len(self.connections) > self._max_connections:
             self.app = _refuse_connection
         self._head_timer = self.loop.call_later(self._header_timeout_s, self._on_head_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Start the timer of a request head, and stop it once the head is complete."""
+        if self._orderly.drains:
+            self._orderly.drop(data)
+            return
         if self._head_timer is None and (self.cycle is None or self.cycle.response_complete):
             self._head_timer = self.loop.call_later(self._header_timeout_s, self._on_head_timeout)
         previous_cycle = self.cycle
@@ -100,6 +105,7 @@
         """Cancel the timers."""
         self._cancel_head_timer()
         self._cancel_write_timer()
+        self._orderly.lost()
         super().connection_lost(exc)
 
     def on_response_complete(self) -> None:
@@ -127,6 +133,10 @@
         else:
             self._send_error_response(400, "invalid_request", msg)
 
+    def _has_unread_input(self) -> bool:
+        """Return whether the caller may still be sending a request that was rejected early."""
+        return self.conn.their_state in (h11.SEND_BODY, h11.ERROR)
+
     def _on_head_timeout(self) -> None:
         self._head_timer = None
         if self.cycle is None or self.cycle.response_complete:
