Score complete texts with the items' scoring calls

Ruled out: doing it in rollout/scoring.py, which grades delivered batches of trainers and records grades in a table; here the score belongs to the result and precedes its listing. Change: a second stage of an item. The text, once complete, waits for its call, which goes through the route's choice of server, retries and hedging, at most half of the service's slots per daemon, the last missing item of a group first. Complete texts are persisted, so that a takeover scores them without generating them again. Status 500 counts to max_attempts, other failures cost time.

--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -15,6 +15,7 @@
     JobState,
     ResultsPage,
     ResultState,
+    ScoringCall,
 )
 
 __all__ = [
@@ -35,5 +36,6 @@
     "ProbeResult",
     "ResultState",
     "ResultsPage",
+    "ScoringCall",
     "StoredJob",
 ]
--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -76,15 +76,19 @@
 
 
 class PartialText:
-    """Events of an unfinished item, with the weight versions that generated them."""
+    """Events of an unfinished item, with the weight versions that generated them.
 
-    __slots__ = ("events", "last_event", "last_version", "versions")
+    A ``complete`` text has all of its events; its item may still wait for a score.
+    """
+
+    __slots__ = ("complete", "events", "last_event", "last_version", "versions")
 
     def __init__(self) -> None:
         self.events: list[str] = []
         self.last_event: int | None = None
         self.last_version: int | None = None
         self.versions: set[int] = set()
+        self.complete = False
 
     @property
     def text(self) -> str:
@@ -108,6 +112,7 @@
         self.events.clear()
         self.versions.clear()
         self.last_event = self.last_version = None
+        self.complete = False
 
 
 async def run_item(
--- a/src/verbenawind/batches/job_store.py
+++ b/src/verbenawind/batches/job_store.py
@@ -63,7 +63,8 @@
 class KeptText(Value, frozen=True, kw_only=True, array_like=True):
     """A piece of an item's partial text, starting at event number ``first``, counted from 0.
 
-    ``versions`` are the weight versions of the entire text up to the end of this piece.
+    ``versions`` are the weight versions of the entire text up to the end of this piece. After a
+    ``complete`` piece nothing follows; the item waits for its score.
     """
 
     item_id: str
@@ -72,6 +73,7 @@
     last_event: int
     versions: tuple[int, ...]
     last_version: int
+    complete: bool = False
 
 
 class _StoredResult(Value, frozen=True, kw_only=True, array_like=True):
@@ -85,6 +87,7 @@
     text: str
     versions: tuple[int, ...]
     text_object: str = ""
+    score: str = ""
 
 
 class JobStore:
@@ -300,6 +303,7 @@
                         state=ResultState(result.state),
                         text=text,
                         versions=result.versions,
+                        score=result.score,
                     )
                 )
         return found
@@ -392,6 +396,7 @@
         state=result.state.value,
         text=result.text,
         versions=result.versions,
+        score=result.score,
     )
 
 
--- a/src/verbenawind/batches/loading.py
+++ b/src/verbenawind/batches/loading.py
@@ -97,6 +97,7 @@
         if text.first == len(joined.events):
             joined.extend(text.events, text.last_event, text.last_version)
             joined.versions.update(text.versions)
+            joined.complete = text.complete
     return {
         item_id: text
         for item_id, text in partial.items()
--- a/src/verbenawind/batches/outcomes.py
+++ b/src/verbenawind/batches/outcomes.py
@@ -8,6 +8,7 @@
 from verbenawind.batches.item_run import RunEnd, RunOutcome
 from verbenawind.batches.ordering import EngineChoice
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
+from verbenawind.batches.scoring import ScoreEnd, ScoreOutcome
 from verbenawind.batches.types import ItemResult, ResultState
 from verbenawind.batches.unfinished_work import UnfinishedWork
 from verbenawind.clock import Clock
@@ -17,6 +18,8 @@
 
 # Delay before an item is retried after its engine could not be reached.
 _RETRY_S = 0.05
+# Delay before a scoring call is repeated that no server has answered.
+_SCORE_RETRY_S = 0.1
 
 
 class OutcomeHandler:
@@ -64,7 +67,11 @@
         match outcome.end:
             case RunEnd.COMPLETE:
                 backend.succeeded(0.0)
-                self._finish(job, work)
+                work.partial.complete = True
+                work.text_complete_at_s = now_s
+                work.not_before_s = now_s
+                if work.item.scoring is None:
+                    self.finish(job, work)
             case RunEnd.REFUSED:
                 if outcome.other_version and not choice.probing:
                     newest_named = self._newest_version(model)
@@ -93,13 +100,28 @@
                 work.excluded = {name}
                 work.not_before_s = now_s + (_RETRY_S if outcome.end is RunEnd.UNREACHABLE else 0)
 
-    def _finish(self, job: OwnedJob, work: ItemWork) -> None:
+    def handle_score(self, job: OwnedJob, work: ItemWork, outcome: ScoreOutcome) -> None:
+        """Complete or terminate an item whose scoring call has ended, or schedule the next call."""
+        work.score_failures += outcome.failures
+        match outcome.end:
+            case ScoreEnd.SCORED:
+                self.finish(job, work, outcome.score)
+            case ScoreEnd.IMPOSSIBLE:
+                self.terminate(job, work, "its scoring call was rejected as impossible")
+            case ScoreEnd.FAILED if work.score_failures >= outcome.max_failures:
+                self.terminate(job, work, f"its scoring call failed {work.score_failures} times")
+            case ScoreEnd.FAILED | ScoreEnd.UNANSWERED:
+                work.not_before_s = self._clock.monotonic_s() + _SCORE_RETRY_S
+
+    def finish(self, job: OwnedJob, work: ItemWork, score: str = "") -> None:
+        """List an item's complete text, with its score if the item has a scoring call."""
         self._unfinished_work.discard_text(work.item.item_id)
         result = ItemResult(
             item_id=work.item.item_id,
             state=ResultState.COMPLETED,
             text=work.partial.text,
             versions=tuple(sorted(work.partial.versions)),
+            score=score,
         )
         job.finish(result, self._clock.monotonic_s())
 
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from verbenawind.batches.item_run import PartialText
 from verbenawind.batches.job_store import KeptText, StoredJob, Tail
@@ -23,9 +23,12 @@
         "moves",
         "not_before_s",
         "partial",
+        "persisted_complete",
         "persisted_events",
         "rank",
+        "score_failures",
         "task",
+        "text_complete_at_s",
         "was_started",
     )
 
@@ -36,6 +39,11 @@
         self.failures = 0
         # Number of persisted events; None once the persisted text can no longer be extended.
         self.persisted_events: int | None = 0
+        # Whether the persisted text is marked as complete.
+        self.persisted_complete = False
+        self.text_complete_at_s = 0.0
+        # Number of responses with status 500 to the item's scoring call.
+        self.score_failures = 0
         self.moves = 0
         self.excluded: set[str] = set()
         # Whether the engine is excluded only because it is slow.
@@ -107,7 +115,9 @@
         self._group_of = {item.item_id: item.group for item in submission.items}
         self._unlisted = Counter(work.item.group for work in self.unfinished.values())
         for item_id in (kept or {}).keys() & self.unfinished.keys():
-            self.unfinished[item_id].persisted_events = len(self.unfinished[item_id].partial.events)
+            work = self.unfinished[item_id]
+            work.persisted_events = len(work.partial.events)
+            work.persisted_complete = work.partial.complete
 
     @property
     def job_id(self) -> str:
@@ -116,8 +126,23 @@
 
     @property
     def waiting(self) -> Sequence[ItemWork]:
-        """Unfinished items that are not running."""
-        return [work for work in self.unfinished.values() if work.task is None]
+        """Items without a complete text that are not running."""
+        return [
+            work
+            for work in self.unfinished.values()
+            if work.task is None and not work.partial.complete
+        ]
+
+    @property
+    def awaiting_score(self) -> Sequence[ItemWork]:
+        """Items whose complete text has no score and that have no call in flight."""
+        return [
+            work for work in self.unfinished.values() if work.task is None and work.partial.complete
+        ]
+
+    def unfinished_by_group(self) -> Mapping[str, int]:
+        """Return the number of unfinished items of each group."""
+        return Counter(work.item.group for work in self.unfinished.values())
 
     def complete_groups(self, results: Sequence[ItemResult]) -> Sequence[str]:
         """Record that results are listed, and return the groups that they complete."""
--- a/src/verbenawind/batches/partial_texts.py
+++ b/src/verbenawind/batches/partial_texts.py
@@ -81,6 +81,7 @@
         else:
             for work, text in texts[:count]:
                 work.persisted_events = text.first + len(text.events)
+                work.persisted_complete = text.complete
             job.unconfirmed_texts = ()
         finally:
             job.next_write_at_s = self._clock.monotonic_s() + pause_s
@@ -89,7 +90,12 @@
 
 def _needs_writing(work: ItemWork, min_new_events: int) -> bool:
     count = len(work.partial.events)
-    if work.persisted_events is None or count < _MIN_EVENTS:
+    if work.persisted_events is None:
+        return False
+    if work.partial.complete:
+        # The score may take long, and only the generation of the text is expensive.
+        return not work.persisted_complete
+    if count < _MIN_EVENTS:
         return False
     if count < work.persisted_events:
         # The text was discarded and restarted, so the persisted part no longer belongs to it.
@@ -107,4 +113,5 @@
         last_event=work.partial.last_event or 0,
         versions=tuple(sorted(work.partial.versions)),
         last_version=work.partial.last_version or 0,
+        complete=work.partial.complete,
     )
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -18,6 +18,7 @@
 from verbenawind.batches.outcomes import OutcomeHandler
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.batches.partial_texts import PartialTextWriter
+from verbenawind.batches.scoring import RequestForwarder, ScoreOutcome, ScoringStage
 from verbenawind.batches.types import ItemResult, JobState
 from verbenawind.batches.unfinished_work import UnfinishedWork
 from verbenawind.clock import Clock
@@ -55,6 +56,7 @@
         job_registry: Known jobs.
         directory: Known engines.
         port: Sends requests to engines.
+        forwarder: Sends the scoring calls of complete texts.
         routes: Returns the current routes, None while there are none.
         newest_version: Returns the newest published version of a model.
         current_engines: Returns the engines of a service that are kept up to date with a model.
@@ -72,6 +74,7 @@
         job_registry: JobRegistry,
         directory: Directory,
         port: BackendPort,
+        forwarder: RequestForwarder,
         routes: Callable[[], RouteTable | None],
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
@@ -105,6 +108,14 @@
         self._unfinished_work = UnfinishedWork()
         self.counts = RunnerCounts()
         self._outcomes = OutcomeHandler(self._engines, newest_version, self._unfinished_work, clock)
+        self.scoring = ScoringStage(
+            forwarder,
+            directory,
+            on_outcome=self._score_call_ended,
+            create_task=self._create_task,
+            timings=timings,
+            clock=clock,
+        )
         self.stopping = False
         self._log = structlog.get_logger("batches")
         job_registry.on_change(self._job_changed)
@@ -256,6 +267,7 @@
         table = self._routes()
         if table is None or self.stopping:
             return
+        self._start_scoring(table)
         now_s = self._clock.monotonic_s()
         candidates: list[tuple[int, float, Rank, OwnedJob, ItemWork]] = []
         for job in self.jobs.values():
@@ -285,10 +297,8 @@
         if route is None:
             self._outcomes.terminate(job, work, "its route was removed")
             return True
-        age_s = self._age_s(job)
-        remaining_s = route.retention_s - age_s if route.retention_s else _DEFAULT_RETENTION_S
+        remaining_s = self._retention_left_s(job, work, route)
         if remaining_s <= 0:
-            self._outcomes.terminate(job, work, f"older than {route.retention_s} s")
             return True
         service = service_of(route, record.job_id)
         engines = self._engines.engines(
@@ -303,12 +313,44 @@
         )
         if not work.was_started:
             work.was_started = True
-            self._timings.observe(Timing.ITEM_WAIT, age_s)
+            self._timings.observe(Timing.ITEM_WAIT, self._age_s(job))
         # Count the run now, so that the choice for the next item takes its load into account.
         backend.begin()
         work.task.add_done_callback(lambda _: backend.end())
         return True
 
+    def _retention_left_s(self, job: OwnedJob, work: ItemWork, route: Route) -> float:
+        """Return how long an item may still take; an item without time left is terminated."""
+        if not route.retention_s:
+            return _DEFAULT_RETENTION_S
+        remaining_s = route.retention_s - self._age_s(job)
+        if remaining_s <= 0:
+            self._outcomes.terminate(job, work, f"older than {route.retention_s} s")
+        return remaining_s
+
+    def _start_scoring(self, table: RouteTable) -> None:
+        """Start the scoring calls of complete texts."""
+
+        def remaining_s(job: OwnedJob, work: ItemWork) -> float:
+            route = table.match(job.submission.host, work.item.path.partition("?")[0])
+            if route is None:
+                self._outcomes.terminate(job, work, "its route was removed")
+                return 0.0
+            if work.item.scoring is None:
+                self._outcomes.finish(job, work)
+                return 0.0
+            if not work.partial.satisfies(job.stored.record.min_version, route.single_version):
+                work.partial.clear()
+                return 0.0
+            return self._retention_left_s(job, work, route)
+
+        self.scoring.start_calls(list(self.jobs.values()), table, remaining_s)
+
+    def _score_call_ended(self, job: OwnedJob, work: ItemWork, outcome: ScoreOutcome) -> None:
+        if self.jobs.get(job.job_id) is job:
+            self._outcomes.handle_score(job, work, outcome)
+        self._wake.set()
+
     async def _run_item(
         self,
         job: OwnedJob,
--- a/src/verbenawind/batches/types.py
+++ b/src/verbenawind/batches/types.py
@@ -13,6 +13,7 @@
     "JobState",
     "ResultState",
     "ResultsPage",
+    "ScoringCall",
 ]
 
 
@@ -31,10 +32,20 @@
     TERMINATED = "terminated"
 
 
+class ScoringCall(Value, frozen=True, kw_only=True):
+    """The request whose response scores the complete text of an item; it may be repeated."""
+
+    call_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class BatchItem(Value, frozen=True, kw_only=True):
     """One request of a job; the items of a group share their prompt.
 
-    ``length_hint`` is the caller's estimate of the output length in tokens, 0 if not given.
+    ``length_hint`` is the caller's estimate of the output length in tokens, 0 if not given. An item
+    with a ``scoring`` call is complete only with the score of its text.
     """
 
     item_id: str
@@ -44,6 +55,7 @@
     tokens: int
     group: str = ""
     length_hint: int = 0
+    scoring: ScoringCall | None = None
 
 
 class BatchSubmission(Value, frozen=True, kw_only=True):
@@ -84,12 +96,16 @@
 
 
 class ItemResult(Value, frozen=True, kw_only=True):
-    """A listed result; ``versions`` are the weight versions that generated its events."""
+    """A listed result; ``versions`` are the weight versions that generated its events.
+
+    ``score`` is the signature of the response to the item's scoring call, empty if it has none.
+    """
 
     item_id: str
     state: ResultState
     text: str
     versions: tuple[int, ...] = ()
+    score: str = ""
 
 
 class ResultsPage(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/cli/logs.py
+++ b/src/verbenawind/cli/logs.py
@@ -1,6 +1,6 @@
 """Commands that read the daemons' files and need no running daemon."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +15,7 @@
 __all__: list[str] = []
 
 # Fields that hold the ID of a request, job or server.
-_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group")
+_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group", "call_id")
 _LEADING_FIELDS = ("timestamp", "event", "host", "level", "logger")
 
 
@@ -23,17 +23,15 @@
 def trace(invocation: Invocation) -> Result:
     """Merge the log lines of a request, job or server from several hosts, sorted by time.
 
-    With the ID of a batch item, the lines of its job are included. Timestamps are from the hosts'
-    own clocks, which may differ.
+    With the ID of a batch item, the lines of its job and of its scoring call are included.
+    Timestamps are from the hosts' own clocks, which may differ.
     """
     identifier, *paths = invocation.arguments
     lines = [line for path in paths for line in _read_lines(path)]
-    related_ids = {identifier} | {
-        str(line["job_id"])
-        for line in lines
-        if line.get("request_id") == identifier and "job_id" in line
-    }
-    matching = [line for line in lines if _matches(line, identifier, related_ids - {identifier})]
+    own_lines = [line for line in lines if line.get("request_id") == identifier]
+    job_ids = {str(line["job_id"]) for line in own_lines if "job_id" in line} - {identifier}
+    ids = {identifier} | {str(line["call_id"]) for line in own_lines if "call_id" in line}
+    matching = [line for line in lines if _matches(line, ids, job_ids)]
     if not matching:
         raise CommandFailed(
             ExitCode.NOT_FOUND,
@@ -76,10 +74,10 @@
         raise CommandFailed(ExitCode.USAGE, f"log file {path}: {error.strerror}") from error
 
 
-def _matches(line: dict[str, Any], identifier: str, jobs: Iterable[str]) -> bool:
-    if any(line.get(name) == identifier for name in _ID_FIELDS):
+def _matches(line: dict[str, Any], ids: Collection[str], job_ids: Collection[str]) -> bool:
+    if any(line.get(name) in ids for name in _ID_FIELDS):
         return True
-    return "request_id" not in line and line.get("job_id") in set(jobs)
+    return "request_id" not in line and line.get("job_id") in job_ids
 
 
 def _render_line(line: dict[str, Any]) -> str:
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards plain requests to backend servers, with retries and hedging."""
 
 import asyncio
-from collections.abc import Sequence
 
 import structlog
 
@@ -16,7 +15,7 @@
 )
 from verbenawind.gateway.balance import choose, no_server_error
 from verbenawind.gateway.directory import Backend, Directory
-from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest, Header
+from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
 from verbenawind.gateway.types import Route, RouteKind
 from verbenawind.kernel.messages import Location
@@ -45,17 +44,31 @@
 
 
 class Reply:
-    """A server's response to the caller. ``rest`` holds what follows ``body``, if anything."""
+    """A server's response to the caller.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers as the server sent them.
+        body: The body, or its beginning.
+        rest: What follows ``body``, if anything.
+        signature: The server's signature.
+        server_errors: Number of responses with status 500 that the request got.
+    """
 
-    __slots__ = ("body", "headers", "rest", "status")
+    __slots__ = ("body", "headers", "rest", "server_errors", "signature", "status")
 
     def __init__(
-        self, status: int, headers: Sequence[Header], body: bytes, rest: BackendResponse | None
+        self,
+        response: BackendResponse,
+        body: bytes,
+        rest: BackendResponse | None,
     ) -> None:
-        self.status = status
-        self.headers = headers
+        self.status = response.status
+        self.headers = response.headers
         self.body = body
         self.rest = rest
+        self.signature = response.signature
+        self.server_errors = 0
 
 
 class _Exchange:
@@ -74,6 +87,7 @@
         "request",
         "route",
         "sends",
+        "server_errors",
         "service",
         "tried",
     )
@@ -84,6 +98,7 @@
         self.service = service
         self.tried: set[str] = set()
         self.sends = 0
+        self.server_errors = 0
         self.possible_runs = 0
         self.hedge_checks = 0
         self.answered = False
@@ -181,7 +196,9 @@
                 continue
             if reply.status < _SERVER_ERROR or not exchange.repeatable:
                 return reply
+            exchange.server_errors += reply.status == _SERVER_ERROR
             exchange.error_reply = reply
+            reply.server_errors = exchange.server_errors
         return None
 
     def _next_hedge_check_s(self, exchange: _Exchange, now_s: float) -> float:
@@ -309,5 +326,5 @@
         parts.append(data)
         size_bytes += len(data)
         if size_bytes > _MAX_BUFFERED_BYTES:
-            return Reply(response.status, response.headers, b"".join(parts), response)
-    return Reply(response.status, response.headers, b"".join(parts), None)
+            return Reply(response, b"".join(parts), response)
+    return Reply(response, b"".join(parts), None)
--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -57,6 +57,10 @@
     def signed(self) -> bool:
         """Whether the response carries the server's signature header."""
 
+    @property
+    def signature(self) -> str:
+        """The server's signature, empty if the response carries none."""
+
     @property
     def version(self) -> int | None:
         """The weight version at the start of the response."""
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -45,6 +45,7 @@
         float, Meta(description="Previous number of steps that generation ran ahead.")
     ] = 0.0
     behind: Annotated[int, Meta(description="Number of pending loads.")] = 0
+    call_id: Annotated[str, Meta(description="ID of an item's scoring call.")] = ""
     callers_address: Annotated[str, Meta(description="Address of the callers' interface.")] = ""
     candidates: Annotated[int, Meta(description="Number of eligible servers.")] = 0
     changed_until_restart: Annotated[
@@ -85,7 +86,7 @@
         Meta(description="Earlier orders that the engine must have accepted; null if any number."),
     ] = 0
     expected_s: Annotated[_Seconds, Meta(description="Expected time to a response.")] = 0.0
-    failures: Annotated[int, Meta(description="Number of runs that failed.")] = 0
+    failures: Annotated[int, Meta(description="Number of runs or scoring calls that failed.")] = 0
     fencing_number: Annotated[int, Meta(description="Fencing number of the lease holder.")] = 0
     fingerprint: Annotated[str, Meta(description="Digest shared by similar requests.")] = ""
     former: Annotated[str, Meta(description="Previous holder of the lease.")] = ""
@@ -230,7 +231,9 @@
     ] = []
     view_age_s: Annotated[float, Meta(description="Age of the view of hosts.")] = 0.0
     void: Annotated[Any, Meta(description="Number of units excluded from the delivery.")] = None
-    waited_s: Annotated[_Seconds, Meta(description="Time in the queue.")] = 0.0
+    waited_s: Annotated[
+        _Seconds, Meta(description="Time in the queue, or since the text was complete.")
+    ] = 0.0
     what: Annotated[str, Meta(description="The store call.")] = ""
     work: Annotated[str, Meta(description="Name of the background task.")] = ""
     zone: Annotated[str, Meta(description="Availability zone.")] = ""
@@ -370,6 +373,11 @@
         "A run of an item at one engine has ended.",
         "job_id request_id group server choice end detail resumed_after events versions took_s",
     ),
+    "score_call": _event(
+        "A scoring call for the complete text of an item has ended; it is repeated unless the item "
+        "is scored or terminated.",
+        "job_id request_id group call_id service end detail failures waited_s took_s",
+    ),
     "item_terminated": _event(
         "An item was terminated without a complete result.", "job_id request_id reason failures"
     ),
--- a/src/verbenawind/metrics.py
+++ b/src/verbenawind/metrics.py
@@ -19,6 +19,10 @@
         "Time from a job's submission to the first start of an item.",
         _LONG_BUCKETS_S,
     ),
+    Timing.ITEM_SCORE: (
+        "Time from an item's complete text to its score.",
+        _SHORT_BUCKETS_S,
+    ),
     Timing.RESULT_LISTING: (
         "Time from the first finished result of a transaction to its commit.",
         _SHORT_BUCKETS_S,
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -158,6 +158,7 @@
 
         self.directory = Directory(clock)
         self.servers_feed.on_response(self.directory.feed_recovered)
+        self.forwarder = Forwarder(self.directory, backends, settings.location, clock)
         heartbeat = HostHeartbeat(
             host=settings.host,
             incarnation=new_id("run").removeprefix("run-"),
@@ -173,6 +174,7 @@
             job_registry=self.job_registry,
             directory=self.directory,
             port=backends,
+            forwarder=self.forwarder,
             routes=lambda: self.routes,
             newest_version=lambda model: self.newest_versions.get(model, 1),
             current_engines=lambda model, service: self.load_scheduler.assigned_engines(
@@ -232,7 +234,6 @@
             clock=clock,
         )
         self.job_registry.on_change(self._on_job_change)
-        self.forwarder = Forwarder(self.directory, backends, settings.location, clock)
         self.streams = StreamForwarder(self.directory, backends, settings.location, clock)
 
     @property
--- a/src/verbenawind/platform/backends.py
+++ b/src/verbenawind/platform/backends.py
@@ -73,6 +73,11 @@
         """Whether the response has the header that backend servers add to their own responses."""
         return self._response.header(SIGNATURE_HEADER) is not None
 
+    @property
+    def signature(self) -> str:
+        """The server's signature, empty if the response carries none."""
+        return self._response.header(SIGNATURE_HEADER) or ""
+
     @property
     def version(self) -> int | None:
         """The weight version at the start of the response, None if it is not given."""
--- a/src/verbenawind/platform/batches.py
+++ b/src/verbenawind/platform/batches.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from verbenawind.batches import BatchItem, BatchSubmission, ResultsPage
+from verbenawind.batches import (
+    BatchItem,
+    BatchSubmission,
+    ItemResult,
+    ResultsPage,
+    ScoringCall,
+)
 from verbenawind.errors import InvalidRequest
 
 __all__ = ["decode_submission", "encode_page"]
@@ -13,6 +19,15 @@
 _LENGTH_HINT_HEADER = "x-verbenawind-length-hint"
 
 
+class _WireScorer(msgspec.Struct):
+    """The request that scores an item's complete text; ``body`` is base64."""
+
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
 class _WireItem(msgspec.Struct, rename="kebab"):
     """An item; ``tokens`` is the sum of its prompt tokens and its limit of generated tokens."""
 
@@ -22,6 +37,7 @@
     headers: dict[str, str] = {}
     tokens: int = 0
     group: str = ""
+    scorer: _WireScorer | None = None
 
 
 class _WireJob(msgspec.Struct, rename="kebab"):
@@ -65,19 +81,23 @@
         {
             "total": page.total,
             "next": after + len(page.results),
-            "results": [
-                {
-                    "id": result.item_id,
-                    "state": result.state.value,
-                    "text": result.text,
-                    "versions": list(result.versions),
-                }
-                for result in page.results
-            ],
+            "results": [_result(result) for result in page.results],
         }
     )
 
 
+def _result(result: ItemResult) -> dict[str, object]:
+    encoded: dict[str, object] = {
+        "id": result.item_id,
+        "state": result.state.value,
+        "text": result.text,
+        "versions": list(result.versions),
+    }
+    if result.score:
+        encoded["score"] = result.score
+    return encoded
+
+
 def _item(wire: _WireItem) -> BatchItem:
     hint = next(
         (value for name, value in wire.headers.items() if name.lower() == _LENGTH_HINT_HEADER), ""
@@ -90,4 +110,14 @@
         tokens=wire.tokens,
         group=wire.group,
         length_hint=int(hint) if hint.isdigit() else 0,
+        scoring=_scoring_call(wire.scorer) if wire.scorer is not None else None,
+    )
+
+
+def _scoring_call(wire: _WireScorer) -> ScoringCall:
+    return ScoringCall(
+        call_id=wire.id,
+        host=wire.host,
+        path=wire.path,
+        body=base64.b64decode(wire.body, validate=True),
     )
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -212,6 +212,8 @@
             )
         for end, count in self.node.runner.counts.runs.items():
             set_gauge("item_runs", "Runs of batch items, by outcome.", count, end=end.value)
+        for score_end, count in self.node.runner.scoring.counts.items():
+            set_gauge("scoring_calls", "Scoring calls, by outcome.", count, end=score_end.value)
         for answer, count in self.node.load_scheduler.counts.answers.items():
             set_gauge("orders", "Load orders to engines, by answer.", count, answer=answer)
         for feed in ("operator", "servers", "hosts", "jobs"):
--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -1,6 +1,7 @@
 """In-memory engines for opaque requests and event streams, with fault injection."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 
 from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
@@ -29,7 +30,14 @@
 
     ``down`` refuses connections and breaks streams; ``unresponsive`` leaves calls without a
     response; ``break_after`` breaks a stream after that many events; requests in ``refuse_items``
-    get status 422, those in ``fail_items`` status 500.
+    get status 422, those in ``fail_items`` status 500, as do the first ``failures_left`` requests;
+    ``loses_responses`` runs requests and loses the responses; ``unsigned`` responses lack the
+    signature.
+
+    Attributes:
+        started: Time, request id and resumption of each run, in order.
+        finished: Time of the last event or of the response of each request.
+        signatures: Signatures of the complete responses to each request.
 
     Args:
         instance: The engine's entry in the configuration.
@@ -48,10 +56,15 @@
         self.down = False
         self.fail_items: set[str] = set()
         self.refuse_items: set[str] = set()
+        self.failures_left = 0
+        self.loses_responses = False
+        self.unsigned = False
         self.break_after: int | None = None
         self.loading = False
         self.orders: list[tuple[float, int, LoadOrder]] = []
         self.started: list[tuple[float, str, int | None]] = []
+        self.finished: dict[str, float] = {}
+        self.signatures: defaultdict[str, set[str]] = defaultdict(set)
 
 
 class _Answer:
@@ -68,6 +81,8 @@
         self._next_event_id = (attempt.resume_after or 0) + 1
         self._events_sent = 0
         self._version = engine.versions.get(_requested_model(attempt), 0)
+        self._request_id = attempt.request.request_id
+        self._run_number = len(engine.started)
         self._running = status == _OK and not refused
         self._body = [attempt.request.body] if self._running else []
 
@@ -78,8 +93,15 @@
 
     @property
     def signed(self) -> bool:
-        """Whether the response carries the server's signature header; always true."""
-        return True
+        """Whether the response carries the server's signature header."""
+        return bool(self.signature)
+
+    @property
+    def signature(self) -> str:
+        """The server's signature, which differs for each run."""
+        if self._engine.unsigned:
+            return ""
+        return f"{self._engine.instance.instance_id}/{self._request_id}/{self._run_number}"
 
     @property
     def version(self) -> int | None:
@@ -89,16 +111,20 @@
     async def chunk(self) -> bytes:
         """Return the request body, once, as the response body."""
         if not self._body:
-            self.close()
+            self._complete()
             return b""
         await asyncio.sleep(self._engine.pace_s)
+        await _wait_until(lambda: not self._engine.unresponsive)
+        if self._engine.loses_responses or self._engine.down:
+            self.close()
+            raise BackendServerFailed("the response was lost")
         return self._body.pop()
 
     async def events(self) -> Sequence[StreamEvent] | None:
         """Return the next event, or None at the end of the stream."""
         engine = self._engine
         if self._next_event_id > _event_count(self._attempt):
-            self.close()
+            self._complete()
             return None
         await asyncio.sleep(engine.pace_s)
         await _wait_until(lambda: not (engine.unresponsive or engine.loading))
@@ -111,9 +137,15 @@
         changed = version if version != self._version else None
         self._version = version
         number, self._next_event_id = self._next_event_id, self._next_event_id + 1
-        data = f"{self._attempt.request.request_id}.{number}"
+        self._engine.finished[self._request_id] = asyncio.get_running_loop().time()
+        data = f"{self._request_id}.{number}"
         return [StreamEvent(event_id=number, data=data, version=changed, raw=data.encode())]
 
+    def _complete(self) -> None:
+        if self._running:
+            self._engine.signatures[self._request_id].add(self.signature)
+        self.close()
+
     def close(self) -> None:
         """End the run and free its slot."""
         if self._running:
@@ -148,6 +180,9 @@
             return _Answer(engine, attempt, _UNPROCESSABLE)
         if request_id in engine.fail_items:
             return _Answer(engine, attempt, _SERVER_ERROR)
+        if engine.failures_left > 0:
+            engine.failures_left -= 1
+            return _Answer(engine, attempt, _SERVER_ERROR)
         await _wait_until(lambda: engine.running < instance.slots)
         engine.running += 1
         engine.peak_running = max(engine.peak_running, engine.running)
--- a/src/verbenawind/timings.py
+++ b/src/verbenawind/timings.py
@@ -10,6 +10,7 @@
     """A measured quantity, in seconds except for the ratio."""
 
     ITEM_WAIT = "item_wait_seconds"
+    ITEM_SCORE = "item_score_seconds"
     RESULT_LISTING = "result_listing_seconds"
     GROUP_COMPLETION = "group_completion_seconds"
     GROUP_DEADLINE = "group_completion_deadline_ratio"
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -45,6 +45,30 @@
         code, out, _ = call("trace", "j", first, second, "--json")
         assert len(json.loads(out)) == 4
 
+    def test_both_stages_of_an_item_are_shown(self, tmp_path: Path) -> None:
+        """With an item's ID, the sends of its scoring call are included; by the call's ID, too."""
+        path = write(
+            tmp_path / "a",
+            {"event": "item_run", "timestamp": "1", "job_id": "j", "request_id": "i1"},
+            {"event": "request_sent", "timestamp": "2", "request_id": "c1"},
+            {"event": "request_sent", "timestamp": "2", "request_id": "c2"},
+            {
+                "event": "score_call",
+                "timestamp": "3",
+                "job_id": "j",
+                "request_id": "i1",
+                "call_id": "c1",
+            },
+        )
+        _, out, _ = call("trace", "i1", path)
+        assert [line.split()[1] for line in out.splitlines()] == [
+            "item_run",
+            "request_sent",
+            "score_call",
+        ]
+        _, out, _ = call("trace", "c1", path)
+        assert [line.split()[0] for line in out.splitlines()] == ["2", "3"]
+
     def test_unknown_id_and_file(self, tmp_path: Path) -> None:
         """An ID without lines exits as not found, a missing file or argument as wrong usage."""
         path = write(tmp_path / "a", {"event": "started", "timestamp": "1"})
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -16,6 +16,7 @@
     ItemResult,
     JobRecord,
     ProbeResult,
+    ScoringCall,
 )
 from verbenawind.clock import LoopClock
 from verbenawind.gateway import (
@@ -41,6 +42,8 @@
 PREFIX = "/batch/"
 MODEL = "tuner"
 SERVICE = "engines"
+SCORING_SERVICE = "scorers"
+SCORING_PREFIX = "/score/"
 ORDER_GAP_S = 3.0
 STATUS_S = 120.0
 
@@ -104,22 +107,27 @@
         version: int = 1,
         zone: str = "a",
         load_s: float = 0.9,
+        service: str = SERVICE,
     ) -> OpaqueEngine:
         """Start an engine and register it."""
         instance = Instance(
             instance_id=name,
-            service=SERVICE,
+            service=service,
             address="10.0.0.1:80",
             location=Location(zone=zone, region=zone),
             slots=slots,
             draining=False,
             started_ms=1,
-            versions={MODEL: version},
+            versions={MODEL: version} if service == SERVICE else {},
         )
         engine = self.engines.add(instance, pace_s=pace_s, load_s=load_s)
         self.register(instance)
         return engine
 
+    def add_scoring_server(self, name: str, *, slots: int = 6, work_s: float = 0.2) -> OpaqueEngine:
+        """Start a server of the scoring service and register it."""
+        return self.add_engine(name, slots=slots, pace_s=work_s, service=SCORING_SERVICE)
+
     def register(self, instance: Instance) -> None:
         """Write a server's registration."""
         row_id = RowId(table="servers", key=instance.instance_id)
@@ -145,15 +153,27 @@
             result_deadline_s=7.5,
             retention_s=40.0,
         )
+        scoring = Route(
+            name="scoring",
+            host=HOST,
+            path_prefix=SCORING_PREFIX,
+            kind=RouteKind.IDEMPOTENT,
+            timeout_s=3.0,
+            target_latency_s=0.8,
+            max_attempts=4,
+            priority=2,
+            services=(ServiceShare(service=SCORING_SERVICE, weight=1.0),),
+        )
         configuration = GatewayConfiguration(
             version=version,
-            routes=(msgspec.structs.replace(batch, **changes),),
+            routes=(msgspec.structs.replace(batch, **changes), scoring),
             services={
                 SERVICE: Service(
                     name=SERVICE,
                     max_connections=100,
                     engine=EngineTraits(slots=8, models=(MODEL,)),
-                )
+                ),
+                SCORING_SERVICE: Service(name=SCORING_SERVICE, max_connections=100),
             },
             limits=IngressLimits(
                 max_header_bytes=16384,
@@ -291,21 +311,27 @@
     hints: Sequence[int] = (),
     step: int = 1,
     prefix: str = "",
+    scored: bool = False,
 ) -> BatchSubmission:
-    """Return a job; ``events`` is the number of events per item, or one number for each group."""
+    """Return a job; ``events`` is the number of events per item, or one number for each group.
+
+    Every item of a *scored* job has a scoring call.
+    """
     items = []
     for group in range(groups):
         count = events if isinstance(events, int) else events[group]
         for index in range(size):
+            item_id = f"{prefix or job_id}-g{group}-{index}"
             items.append(
                 BatchItem(
-                    item_id=f"{prefix or job_id}-g{group}-{index}",
+                    item_id=item_id,
                     path=f"{PREFIX}{group}",
                     headers=(("model", MODEL),),
                     body=str(count).encode(),
                     tokens=count * 10,
                     group=f"{prefix or job_id}-g{group}",
                     length_hint=hints[group] if hints else count * 10,
+                    scoring=scoring_call(item_id) if scored else None,
                 )
             )
     return BatchSubmission(
@@ -320,6 +346,13 @@
     )
 
 
+def scoring_call(item_id: str) -> ScoringCall:
+    """Return the scoring call of an item."""
+    return ScoringCall(
+        call_id=f"score-{item_id}", host=HOST, path=f"{SCORING_PREFIX}{item_id}", body=b"reward"
+    )
+
+
 def check_complete(submission: BatchSubmission, results: Sequence[ItemResult]) -> None:
     """Check that each item is listed exactly once, with its complete text."""
     events = {item.item_id: int(item.body) for item in submission.items}
