Decide over all sends whether a request did not run

Cause: StreamForwarder raised the error of the last send, so a resumable stream that one server may have run and the next refused was answered 503, 'not run'. Likewise the end of a job that the store may have taken. Ruled out: Forwarder, which already counted; both now use one SendHistory. Before: tests/gateway/test_outcomes.py fails (both tests). After: passes, 150 sequences. Conclusion: 503 is said only if no send can have run.

--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -178,7 +178,11 @@
             UnknownResource: There is no such job.
             StoreUnavailable: The store did not respond; the job may have ended.
         """
-        job = await self._job_store.end(job_id, _READ_TIMEOUT_S)
+        try:
+            job = await self._job_store.end(job_id, _READ_TIMEOUT_S)
+        except StoreUnavailable as error:
+            error.outcome = Outcome.MAY_HAVE_RUN if error.effect_possible else Outcome.NOT_RUN
+            raise
         if job is None:
             raise UnknownResource(f"there is no job {job_id}")
         self._log.info("job_ended", job_id=job_id, owner=job.record.owner, version=job.version)
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -9,14 +9,13 @@
     AdmissionRefused,
     BackendServerFailed,
     BackendServerUnreachable,
-    DeadlineExceeded,
-    Outcome,
     VerbenawindError,
 )
-from verbenawind.gateway.balance import choose, no_server_error
+from verbenawind.gateway.balance import choose
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
+from verbenawind.gateway.send_history import SendHistory
 from verbenawind.gateway.types import Route, RouteKind
 from verbenawind.kernel.messages import Location
 
@@ -35,8 +34,6 @@
 _MAX_HEDGE_TOKENS = 5.0
 # Sends per attempt that the route allows; only sends that a server refused go beyond it.
 _SENDS_PER_ATTEMPT = 2
-# Suggested retry delay when all servers refused: the service usually has capacity again then.
-_REFUSED_RETRY_AFTER_S = 0.2
 _MIN_SEND_S = 0.005
 # Shorter waits count as elapsed.
 _MIN_WAIT_S = 0.001
@@ -74,19 +71,16 @@
 class _Exchange:
     """The state of a caller's request across its sends.
 
-    ``possible_runs`` counts the sends that a server may have run. ``answered`` is set once one
-    send was answered, which makes the others obsolete.
+    ``answered`` is set once one send was answered, which makes the others obsolete.
     """
 
     __slots__ = (
         "answered",
         "error_reply",
         "hedge_checks",
-        "last_error",
-        "possible_runs",
+        "history",
         "request",
         "route",
-        "sends",
         "server_errors",
         "service",
         "tried",
@@ -97,25 +91,22 @@
         self.route = route
         self.service = service
         self.tried: set[str] = set()
-        self.sends = 0
+        self.history = SendHistory(
+            request.request_id,
+            service,
+            max_runs=route.max_attempts,
+            max_sends=route.max_attempts * _SENDS_PER_ATTEMPT,
+            repeatable=route.kind is RouteKind.IDEMPOTENT,
+        )
         self.server_errors = 0
-        self.possible_runs = 0
         self.hedge_checks = 0
         self.answered = False
         self.error_reply: Reply | None = None
-        self.last_error: VerbenawindError | None = None
 
     @property
     def repeatable(self) -> bool:
         return self.route.kind is RouteKind.IDEMPOTENT
 
-    @property
-    def may_send(self) -> bool:
-        if self.possible_runs and not self.repeatable:
-            return False
-        limit = self.route.max_attempts
-        return self.possible_runs < limit and self.sends < limit * _SENDS_PER_ATTEMPT
-
 
 class Forwarder:
     """Forwards plain requests. Retries idempotent ones after failures and hedges slow ones.
@@ -191,8 +182,8 @@
             sends.discard(task)
             try:
                 reply = task.result()
-            except VerbenawindError as error:
-                exchange.last_error = error
+            except VerbenawindError:
+                # The send has recorded the error in the history.
                 continue
             if reply.status < _SERVER_ERROR or not exchange.repeatable:
                 return reply
@@ -229,21 +220,20 @@
     def _start_send(self, exchange: _Exchange) -> asyncio.Task[Reply] | None:
         request = exchange.request
         remaining_s = request.deadline_s - self._clock.monotonic_s()
-        if not exchange.may_send or remaining_s < _MIN_SEND_S:
+        if not exchange.history.may_send or remaining_s < _MIN_SEND_S:
             return None
         chosen = choose(self._directory.backends(exchange.service), self._location, exchange.tried)
         if chosen is None:
             return None
         backend, choice = chosen
         exchange.tried.add(choice.instance_id)
-        exchange.sends += 1
-        exchange.possible_runs += 1
+        exchange.history.sent()
         self._log.info(
             "request_sent",
             request_id=request.request_id,
             route=exchange.route.name,
             server=choice.instance_id,
-            send=exchange.sends,
+            send=exchange.history.sends,
             remaining_s=round(remaining_s, 3),
             expected_s=choice.expected_s,
             outstanding=choice.outstanding,
@@ -270,11 +260,12 @@
             reply = await _read_buffered(response)
             response = reply.rest
         except (AdmissionRefused, BackendServerUnreachable) as error:
-            exchange.possible_runs -= 1
+            exchange.history.refused()
             backend.failed()
             self._log_failure(exchange, backend, error)
             raise
         except BackendServerFailed as error:
+            exchange.history.failed(error)
             backend.failed()
             self._log_failure(exchange, backend, error)
             raise
@@ -300,22 +291,8 @@
         """Return a server's own error response, or raise an error if there is none."""
         if exchange.error_reply is not None:
             return exchange.error_reply
-        request = exchange.request
-        outcome = Outcome.MAY_HAVE_RUN if exchange.possible_runs > 0 else Outcome.NOT_RUN
-        if self._clock.monotonic_s() >= request.deadline_s - _MIN_SEND_S:
-            raise DeadlineExceeded(
-                f"request {request.request_id} was not answered before its deadline",
-                outcome=outcome,
-            )
-        if exchange.sends == 0:
-            raise no_server_error(exchange.service)
-        if outcome is Outcome.NOT_RUN:
-            raise AdmissionRefused(
-                f"{exchange.sends} servers of service {exchange.service} refused the request",
-                retry_after_s=_REFUSED_RETRY_AFTER_S,
-            )
-        reason = exchange.last_error.message if exchange.last_error else "no response"
-        raise BackendServerFailed(f"request {request.request_id} failed: {reason}")
+        ends_at_s = exchange.request.deadline_s - _MIN_SEND_S
+        raise exchange.history.final_error(deadline_passed=self._clock.monotonic_s() >= ends_at_s)
 
 
 async def _read_buffered(response: BackendResponse) -> Reply:
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -10,14 +10,12 @@
     AdmissionRefused,
     BackendServerFailed,
     BackendServerUnreachable,
-    DeadlineExceeded,
-    Outcome,
-    VerbenawindError,
 )
-from verbenawind.gateway.balance import choose, no_server_error
+from verbenawind.gateway.balance import choose
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
+from verbenawind.gateway.send_history import SendHistory
 from verbenawind.gateway.types import Route
 from verbenawind.kernel.messages import Location
 
@@ -60,9 +58,14 @@
         tried: set[str] = set()
         first_response: BackendResponse | None = None
         last_id = request.resume_after
-        sends = 0
-        error: VerbenawindError | None = None
-        while sends < route.max_attempts and (first_response is None or route.resumable):
+        history = SendHistory(
+            request.request_id,
+            service,
+            max_runs=route.max_attempts,
+            max_sends=None,
+            repeatable=route.resumable,
+        )
+        while history.may_send:
             chosen = choose(self._directory.backends(service), self._location, tried)
             if chosen is None:
                 break
@@ -80,7 +83,7 @@
                 remaining_s=round(remaining_s, 3),
                 outstanding=choice.outstanding,
             )
-            sends += 1
+            history.sent()
             backend.begin()
             response: BackendResponse | None = None
             try:
@@ -101,12 +104,11 @@
                     yield raw
                 backend.succeeded(0.0)
                 return
-            except (AdmissionRefused, BackendServerUnreachable) as refusal:
-                sends -= 1 if first_response is None else 0
-                error = refusal
+            except (AdmissionRefused, BackendServerUnreachable):
+                history.refused()
                 backend.failed()
             except BackendServerFailed as failure:
-                error = failure
+                history.failed(failure)
                 backend.failed()
                 self._log.info(
                     "stream_broke",
@@ -115,13 +117,12 @@
                     error=failure.message,
                     last_event=last_id,
                 )
-                if not route.resumable:
-                    break
             finally:
                 backend.end()
                 if response is not None:
                     response.close()
-        raise self._final_error(request, service, error, sends)
+        deadline_passed = self._clock.monotonic_s() >= request.deadline_s
+        raise history.final_error(deadline_passed=deadline_passed)
 
     async def _open(
         self, backend: Backend, request: CallerRequest, remaining_s: float, last_id: int | None
@@ -151,15 +152,3 @@
                 return
             for event in events:
                 yield event.event_id, event.raw
-
-    def _final_error(
-        self, request: CallerRequest, service: str, error: VerbenawindError | None, sends: int
-    ) -> VerbenawindError:
-        if error is not None:
-            return error
-        if sends:
-            return DeadlineExceeded(
-                f"stream {request.request_id} was not answered before its deadline",
-                outcome=Outcome.MAY_HAVE_RUN,
-            )
-        return no_server_error(service)
