--- a/src/verbenawind/adapter_names.py
+++ b/src/verbenawind/adapter_names.py
@@ -8,7 +8,7 @@
 
 def known_adapters() -> KnownAdapters:
     """Return the names of all registered adapters."""
-    import verbenawind.plugins  # noqa: F401  # The adapters register themselves on import.
+    import verbenawind.plugins.adapters  # noqa: F401  # The adapters register themselves on import.
 
     return KnownAdapters(
         engines=ENGINE_ADAPTERS.names(),
--- a/src/verbenawind/plugins/__init__.py
+++ b/src/verbenawind/plugins/__init__.py
@@ -1,11 +1,5 @@
-"""Adapters for external systems; importing this package registers all of them."""
+"""Adapters for external systems; importing ``plugins.adapters`` registers all of them.
 
-from verbenawind.plugins import (
-    backend_clients,
-    engine_http,
-    platform_http,
-    scoring_http,
-    service_http,
-)
-
-__all__ = ["backend_clients", "engine_http", "platform_http", "scoring_http", "service_http"]
+The package itself imports nothing: a daemon on the users' platform needs few of its modules, and
+what it imports delays its start.
+"""
