Store a submission in rows, in the transaction that records its job

Ruled out: another partition for a job whose own is silent: it might then be accepted twice. Change: submissions up to 400 kB are rows of the job's partition, written with its record in one transaction; larger ones stay objects. The stand-in store gives all rows of a transaction one version, as the platform's does; it gave each its own.

--- a/src/verbenawind/batches/job_store.py
+++ b/src/verbenawind/batches/job_store.py
@@ -29,6 +29,7 @@
 _RESULTS_TABLE = "batch-results"
 _TAILS_TABLE = "batch-tails"
 _TEXTS_TABLE = "batch-texts"
+_SUBMISSIONS_TABLE = "batch-submissions"
 _JOB_KEY = "job"
 _TAIL_KEY = "tail"
 _POSITION_DIGITS = 8
@@ -37,6 +38,8 @@
 _MAX_TRANSACTION_BYTES = 400 * 1024
 _MAX_TRANSACTION_ROWS = 40
 _MAX_PAGE_BYTES = 700 * 1024
+# A submission up to this size is stored in rows, in the transaction that records its job.
+_MAX_SUBMISSION_BYTES = 400 * 1024
 # Number of rows that are deleted in one transaction.
 _MAX_DELETED_ROWS = 40
 _MAX_END_ATTEMPTS = 5
@@ -116,12 +119,23 @@
             StoreUnavailable: ``effect_possible`` tells whether the job may have been recorded.
         """
         data = msgspec.msgpack.encode(submission)
-        await self._put(_submission_object(record.job_id), data, timeout_s)
-        row_id = _job_row(record.job_id)
+        if len(data) <= _MAX_SUBMISSION_BYTES:
+            pieces = self._pieces(data)
+            record = msgspec.structs.replace(record, submission_rows=len(pieces))
+        else:
+            pieces = []
+            await self._put(_submission_object(record.job_id), data, timeout_s)
+        writes = [RowWrite(row_id=_job_row(record.job_id), value=msgspec.json.encode(record))]
+        writes += [
+            RowWrite(row_id=_submission_row(record.job_id, number), value=piece)
+            for number, piece in enumerate(pieces)
+        ]
+        transaction = RowTransaction(
+            checks=tuple(RowCheck(row_id=write.row_id, version=0) for write in writes),
+            writes=tuple(writes),
+        )
         try:
-            version = await self._store.commit(
-                replacement_transaction(row_id, 0, msgspec.json.encode(record)), timeout_s
-            )
+            version = await self._store.commit(transaction, timeout_s)
         except RowConflict:
             existing = await self.job(record.job_id, timeout_s)
             if existing is None:
@@ -139,15 +153,40 @@
                 return StoredJob(record=decode_job(row.value), version=row.version)
         return None
 
-    async def submission(self, job_id: str, timeout_s: float) -> BatchSubmission:
+    async def submission(self, record: JobRecord, timeout_s: float) -> BatchSubmission:
         """Return a job as submitted."""
-        data = await self._store.get_object(_submission_object(job_id), timeout_s)
+        if record.submission_rows:
+            data = await self._submission_data(record, timeout_s)
+        else:
+            data = await self._store.get_object(_submission_object(record.job_id), timeout_s)
         if data is None:
             raise StoreUnavailable(
-                f"the submission of job {job_id} is missing from the store", effect_possible=False
+                f"the submission of job {record.job_id} is missing from the store",
+                effect_possible=False,
             )
         return msgspec.msgpack.decode(data, type=BatchSubmission)
 
+    async def _submission_data(self, record: JobRecord, timeout_s: float) -> bytes | None:
+        """Return the joined rows of a submission, or None if one is missing."""
+        pieces: list[bytes] = []
+        while len(pieces) < record.submission_rows:
+            page = await self._store.rows(
+                _SUBMISSIONS_TABLE,
+                record.job_id,
+                timeout_s,
+                first=_position_key(len(pieces)),
+            )
+            found = [row.value for row in page.rows if row.value is not None]
+            if not found:
+                return None
+            pieces += found
+        return b"".join(pieces)
+
+    def _pieces(self, data: bytes) -> list[bytes]:
+        """Split data into pieces that fit into rows."""
+        size_bytes = int(self._max_row_bytes * _MAX_ROW_FILL)
+        return [data[first : first + size_bytes] for first in range(0, len(data), size_bytes)]
+
     async def update(self, job: StoredJob, record: JobRecord, timeout_s: float) -> StoredJob:
         """Replace a job's record.
 
@@ -317,14 +356,15 @@
             RowConflict: The job has changed since it was read.
         """
         job_id = job.record.job_id
-        for table in (_RESULTS_TABLE, _TEXTS_TABLE, _TAILS_TABLE):
+        for table in (_RESULTS_TABLE, _TEXTS_TABLE, _TAILS_TABLE, _SUBMISSIONS_TABLE):
             while rows := (
                 await self._store.rows(table, job_id, timeout_s, limit=_MAX_DELETED_ROWS)
             ).rows:
                 for result in rows:
                     await self._drop_text_objects(table, result.value, timeout_s)
                 await self._delete([(row.row_id, row.version) for row in rows], timeout_s)
-        await self._store.delete_object(_submission_object(job_id), timeout_s)
+        if not job.record.submission_rows:
+            await self._store.delete_object(_submission_object(job_id), timeout_s)
         await self._delete([(_job_row(job_id), job.version)], timeout_s)
 
     async def _delete(self, rows: Sequence[tuple[RowId, int]], timeout_s: float) -> None:
@@ -426,5 +466,9 @@
     return f"{position:0{_POSITION_DIGITS}d}"
 
 
+def _submission_row(job_id: str, number: int) -> RowId:
+    return RowId(table=_SUBMISSIONS_TABLE, part=job_id, key=_position_key(number))
+
+
 def _submission_object(job_id: str) -> str:
     return f"batch-{job_id}"
--- a/src/verbenawind/batches/loading.py
+++ b/src/verbenawind/batches/loading.py
@@ -61,7 +61,7 @@
 
     async def _load(self, stored: StoredJob, fresh: bool) -> LoadedJob:
         job_id = stored.record.job_id
-        submission = await self._job_store.submission(job_id, _READ_TIMEOUT_S)
+        submission = await self._job_store.submission(stored.record, _READ_TIMEOUT_S)
         tail = Tail() if fresh else await self._job_store.tail(job_id, _READ_TIMEOUT_S)
         listed = await self._listed_item_ids(job_id, tail.listed)
         kept = [] if fresh else await self._job_store.kept_texts(job_id, _READ_TIMEOUT_S)
--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -146,7 +146,7 @@
             StoreUnavailable: The store did not respond.
         """
         ends_at_s = self._clock.monotonic_s() + wait_s
-        total = await self._item_count(job_id)
+        total = (await self._record(job_id)).total
         while True:
             found = await self._job_store.results(job_id, after, _READ_TIMEOUT_S)
             remaining_s = ends_at_s - self._clock.monotonic_s()
@@ -161,10 +161,10 @@
             UnknownResource: There is no such job or item.
             StoreUnavailable: The store did not respond.
         """
-        await self._item_count(job_id)
+        record = await self._record(job_id)
         submission = self._submissions.get(job_id)
         if submission is None:
-            submission = await self._job_store.submission(job_id, _READ_TIMEOUT_S)
+            submission = await self._job_store.submission(record, _READ_TIMEOUT_S)
             self._cache_submission(submission)
         for item in submission.items:
             if item.item_id == item_id:
@@ -188,16 +188,16 @@
         self._log.info("job_ended", job_id=job_id, owner=job.record.owner, version=job.version)
         self._job_registry.put(job)
 
-    async def _item_count(self, job_id: str) -> int:
-        """Return the number of items of a job."""
+    async def _record(self, job_id: str) -> JobRecord:
+        """Return a job's record, which may be an earlier one of the same job."""
         known = self._job_registry.get(job_id)
         if known is not None:
-            return known.record.total
+            return known.record
         job = await self._job_store.job(job_id, _READ_TIMEOUT_S)
         if job is None:
             raise UnknownResource(f"there is no job {job_id}")
         self._job_registry.put(job)
-        return job.record.total
+        return job.record
 
     def _cache_submission(self, submission: BatchSubmission) -> None:
         self._submissions[submission.job_id] = submission
--- a/src/verbenawind/batches/types.py
+++ b/src/verbenawind/batches/types.py
@@ -76,6 +76,7 @@
 
     ``owner`` is the daemon incarnation that runs the job, empty if there is none. ``epoch``
     increases with each new owner. ``submitted_ms`` is a time of the store's clock.
+    ``submission_rows`` is the number of rows that hold the submission, 0 if it is an object.
     """
 
     job_id: str
@@ -89,6 +90,7 @@
     owner: str
     epoch: int
     state: JobState = JobState.OPEN
+    submission_rows: int = 0
 
     def age_s(self, store_ms: int) -> float:
         """Return the time since submission, given the store's current time *store_ms*."""
--- a/src/verbenawind/standins/row_store.py
+++ b/src/verbenawind/standins/row_store.py
@@ -10,6 +10,7 @@
     RowId,
     RowPage,
     RowTransaction,
+    RowWrite,
     StoredRow,
 )
 
@@ -22,15 +23,17 @@
 class RowStoreFaults:
     """Faults to inject; the fields may be changed at any time.
 
-    ``down`` rejects every call. ``slow_s`` delays every response. ``lost_answers`` is the fraction
-    of transactions that are applied but whose response is lost. ``late_writes`` is the fraction
-    that are applied ``late_s`` after the attempt, which gets no response.
+    ``down`` rejects every call, ``objects_down`` those for objects. ``slow_s`` delays every
+    response. ``lost_answers`` is the fraction of transactions that are applied but whose response
+    is lost. ``late_writes`` is the fraction that are applied ``late_s`` after the attempt, which
+    gets no response.
     """
 
-    __slots__ = ("down", "late_s", "late_writes", "lost_answers", "slow_s")
+    __slots__ = ("down", "late_s", "late_writes", "lost_answers", "objects_down", "slow_s")
 
     def __init__(self) -> None:
         self.down = False
+        self.objects_down = False
         self.lost_answers = 0.0
         self.late_writes = 0.0
         self.late_s = 2.0
@@ -73,15 +76,23 @@
 
     def put(self, row_id: RowId, value: bytes | None) -> None:
         """Write a row as an operator or an engine does, unaffected by faults."""
+        self._write([RowWrite(row_id=row_id, value=value)])
+
+    def _write(self, writes: Sequence[RowWrite]) -> None:
+        """Write rows, which all get the next version."""
         self.version += 1
+        for write in writes:
+            self._write_row(write.row_id, write.value)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _write_row(self, row_id: RowId, value: bytes | None) -> None:
         row = StoredRow(row_id=row_id, value=value, version=self.version)
         if value is None:
             self._rows.pop(row_id, None)
         else:
             self._rows[row_id] = row
         self._history.append(row)
-        self._changed.set()
-        self._changed = asyncio.Event()
 
     def row(self, row_id: RowId) -> StoredRow | None:
         """Return the current state of a row."""
@@ -98,8 +109,7 @@
             raise RowConflict(
                 f"row versions differ from the expected ones: {actual_versions}", actual_versions
             )
-        for write in transaction.writes:
-            self.put(write.row_id, write.value)
+        self._write(transaction.writes)
         self.commits += 1
         return self.version
 
@@ -250,21 +260,22 @@
 
     async def put_object(self, name: str, data: bytes, timeout_s: float) -> None:
         """Store an object unless one with this name exists."""
-        await self._simulate_response(timeout_s)
+        await self._simulate_response(timeout_s, objects=True)
         self._store.objects().setdefault(name, data)
 
     async def delete_object(self, name: str, timeout_s: float) -> None:
         """Delete an object."""
-        await self._simulate_response(timeout_s)
+        await self._simulate_response(timeout_s, objects=True)
         self._store.objects().pop(name, None)
 
     async def get_object(self, name: str, timeout_s: float) -> bytes | None:
         """Return an object, or None if there is none."""
-        await self._simulate_response(timeout_s)
+        await self._simulate_response(timeout_s, objects=True)
         return self._store.objects().get(name)
 
-    async def _simulate_response(self, timeout_s: float) -> None:
-        if self.cut or self._store.faults.down:
+    async def _simulate_response(self, timeout_s: float, *, objects: bool = False) -> None:
+        faults = self._store.faults
+        if self.cut or faults.down or (objects and faults.objects_down):
             await asyncio.sleep(min(0.05, timeout_s))
             raise StoreUnavailable("store is unreachable", effect_possible=False)
         await self._store.wait_for_response(timeout_s)
