Place no job on a host that is gone

The accepting host had started 3 s earlier and took every row that it read for a heartbeat just received; a table read anew after a loss of history does the same; and a busy host, which writes each 0.5 s, counted as live for 6 s. Ruled out: the takeover, which took its usual second; the choice by rendezvous, which is right. Change: heartbeats carry the store's time and the time until the next; a row from before the own start counts as live for 1 s after it was written; a repeated row changes nothing; two missed heartbeats of those announced are enough.

--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -194,6 +194,7 @@
             rng=rng,
             busy=lambda: self.runner.busy,
             view_age_s=self.hosts_feed.age_s,
+            store_ms=store_ms,
         )
         self.hosts_feed.on_response(self.heartbeats.on_feed_response)
         owner_monitor = OwnerMonitor(self.heartbeats, probe, clock)
--- a/src/verbenawind/state/heartbeats.py
+++ b/src/verbenawind/state/heartbeats.py
@@ -29,8 +29,13 @@
 _UNANSWERED_TIMEOUT_S = 1.0
 # After an outage of the table, live daemons write a heartbeat again within this time.
 _RECOVERY_GRACE_S = 0.8
-# An idle daemon without a heartbeat for this long is given no work.
+# A daemon without a heartbeat for this long is given no work, and sooner if it has missed this many
+# of the heartbeats that it announced.
 _IDLE_TIMEOUT_S = 6.0
+_MISSED_PERIODS = 2
+# A row that was written before this daemon followed the table shows a live daemon only if it is
+# younger than this: all daemons may have stopped since.
+_MAX_UNHEARD_AGE_S = 1.0
 # A view of the table older than this cannot show that a daemon has stopped.
 _MAX_VIEW_AGE_S = 1.6
 _POLL_S = 0.1
@@ -44,7 +49,11 @@
 
 
 class HostHeartbeat(Value, frozen=True, kw_only=True):
-    """A daemon's heartbeat row; ``incarnation`` distinguishes successive processes of one host."""
+    """A daemon's heartbeat row.
+
+    ``incarnation`` distinguishes successive processes of one host. ``written_ms`` is the store's
+    time at which it was written, 0 if unknown, and ``period_s`` the time until the next one.
+    """
 
     host: str
     incarnation: str
@@ -52,6 +61,8 @@
     location: Location
     number: int
     leaving: bool = False
+    written_ms: int = 0
+    period_s: float = _IDLE_PERIOD_S
 
     @property
     def owner_id(self) -> str:
@@ -60,12 +71,26 @@
 
 
 class _ReceivedHeartbeat:
-    __slots__ = ("at_s", "heartbeat", "version")
+    """The latest heartbeat of a daemon.
+
+    ``at_s`` is when it arrived, or when it was written if it is the first one that was read.
+    ``heard`` is set once a later one has arrived.
+    """
+
+    __slots__ = ("at_s", "heard", "heartbeat", "version")
 
-    def __init__(self, heartbeat: HostHeartbeat, version: int, at_s: float) -> None:
+    def __init__(self, heartbeat: HostHeartbeat, version: int, at_s: float, *, heard: bool) -> None:
         self.heartbeat = heartbeat
         self.version = version
         self.at_s = at_s
+        self.heard = heard
+
+    @property
+    def max_age_s(self) -> float:
+        """The age up to which the heartbeat shows that its daemon can be given work."""
+        if not self.heard:
+            return _MAX_UNHEARD_AGE_S
+        return min(_IDLE_TIMEOUT_S, _MISSED_PERIODS * self.heartbeat.period_s)
 
 
 class HostHeartbeats:
@@ -78,6 +103,7 @@
         rng: Random source for jitter.
         busy: Whether this daemon owns work.
         view_age_s: Returns the seconds since the table's feed last responded.
+        store_ms: Returns the store's time.
     """
 
     __slots__ = (
@@ -90,6 +116,7 @@
         "_replaced_owners",
         "_rng",
         "_store",
+        "_store_ms",
         "_version",
         "view_age_s",
     )
@@ -103,8 +130,10 @@
         rng: Random,
         busy: Callable[[], bool],
         view_age_s: Callable[[], float],
+        store_ms: Callable[[], int],
     ) -> None:
         self._store = store
+        self._store_ms = store_ms
         self._own = own
         self._clock = clock
         self._rng = rng
@@ -134,13 +163,21 @@
             self._log.warning("beat_unreadable", peer=host, error=str(error))
             return
         previous = self._received.get(host)
+        if previous is not None and previous.version == row.version:
+            # A table that is read anew repeats heartbeats, which are no sign of life.
+            return
         if previous is None or previous.heartbeat.incarnation != heartbeat.incarnation:
             self._log.info("host_seen", peer=host, incarnation=heartbeat.incarnation)
             if previous is not None:
                 self._replaced_owners.add(previous.heartbeat.owner_id)
         if host == self._own.host:
             self._version = max(self._version, row.version)
-        self._received[host] = _ReceivedHeartbeat(heartbeat, row.version, self._clock.monotonic_s())
+        at_s = self._clock.monotonic_s()
+        if previous is None and heartbeat.written_ms:
+            at_s -= max(0, self._store_ms() - heartbeat.written_ms) / 1000
+        self._received[host] = _ReceivedHeartbeat(
+            heartbeat, row.version, at_s, heard=previous is not None
+        )
 
     def on_feed_response(self, silent_s: float) -> None:
         """Allow every daemon time to write a heartbeat after an outage of the table.
@@ -165,13 +202,14 @@
         return self.view_age_s() <= _MAX_VIEW_AGE_S
 
     def live_zone_peers(self) -> Sequence[HostHeartbeat]:
-        """Return the other daemons of this availability zone with a recent heartbeat."""
+        """Return the other daemons of this availability zone that can be given work."""
         now_s = self._clock.monotonic_s()
         return [
             heartbeat
             for heartbeat in self.others()
             if heartbeat.location.zone == self._own.location.zone
-            and now_s - self._received[heartbeat.host].at_s <= _IDLE_TIMEOUT_S
+            and now_s - self._received[heartbeat.host].at_s
+            <= self._received[heartbeat.host].max_age_s
         ]
 
     def is_gone(self, owner_id: str, since_s: float, *, unanswered: bool = False) -> bool:
@@ -225,19 +263,30 @@
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
         while True:
-            await self.write()
-            period_s = _BUSY_PERIOD_S if self._busy() else _IDLE_PERIOD_S
+            period_s = await self.write()
             ends_at_s = self._clock.monotonic_s() + period_s * self._rng.uniform(0.8, 1.0)
             while (remaining_s := ends_at_s - self._clock.monotonic_s()) > _MIN_SLEEP_S:
                 await self._clock.sleep(min(_POLL_S, remaining_s))
                 if period_s == _IDLE_PERIOD_S and self._busy():
                     break
 
-    async def write(self, *, leaving: bool = False) -> None:
-        """Write one heartbeat; a failure is logged and left to the next heartbeat."""
+    async def write(self, *, leaving: bool = False) -> float:
+        """Write one heartbeat, and return the time until the next one, in seconds.
+
+        A failure is logged and left to the next heartbeat.
+        """
+        period_s = _BUSY_PERIOD_S if self._busy() else _IDLE_PERIOD_S
         self._own = msgspec.structs.replace(
-            self._own, number=self._own.number + 1, leaving=self._own.leaving or leaving
+            self._own,
+            number=self._own.number + 1,
+            leaving=self._own.leaving or leaving,
+            written_ms=self._store_ms(),
+            period_s=period_s,
         )
+        await self._write_row()
+        return period_s
+
+    async def _write_row(self) -> None:
         row_id = RowId(table=HOSTS_TABLE, key=self._own.host)
         value = msgspec.json.encode(self._own)
         for _ in range(2):
