Free the slot of a scoring call that is cancelled before it starts

A task that is cancelled before its first step runs none of its code, so a job that ended in the moment its calls were started took their slots for good; with half of a service's slots gone, no text of this daemon would be scored. Ruled out: runs of items, which are counted down by a callback of the task. Change: the same for calls; the sort key of waiting texts has names. Before: tests/batches/test_scoring_stage.py fails. After: it passes.

--- a/src/verbenawind/batches/scoring.py
+++ b/src/verbenawind/batches/scoring.py
@@ -4,6 +4,7 @@
 the text complete. The calls use the routes, retries and hedging of callers' requests.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
 from enum import StrEnum
@@ -66,6 +67,15 @@
     detail: str = ""
 
 
+class _Urgency(Value, frozen=True, kw_only=True, order=True):
+    """An item's sort key among the texts that wait for a score; lower ones are scored first."""
+
+    awaited: int
+    unfinished_in_group: int
+    text_complete_at_s: float
+    item_id: str
+
+
 class RequestForwarder(Protocol):
     """Port that sends requests to services, with retries."""
 
@@ -109,7 +119,7 @@
         directory: Directory,
         *,
         on_outcome: Callable[[OwnedJob, ItemWork, ScoreOutcome], None],
-        create_task: Callable[[Coroutine[Any, Any, None]], Any],
+        create_task: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
         timings: Timings,
         clock: Clock,
     ) -> None:
@@ -137,25 +147,22 @@
             remaining_s: Returns how long an item may still take before it is terminated.
         """
         now_s = self._clock.monotonic_s()
-        due: list[tuple[int, int, float, str, OwnedJob, ItemWork]] = []
+        due: list[tuple[_Urgency, OwnedJob, ItemWork]] = []
         for job in jobs:
             works = [work for work in job.awaiting_score if work.not_before_s <= now_s]
             unfinished = job.unfinished_by_group() if works else {}
             for work in works:
                 # The text of a job that was taken over was completed by another daemon.
                 work.text_complete_at_s = work.text_complete_at_s or now_s
-                due.append(
-                    (
-                        work.rank.awaited,
-                        unfinished[work.item.group],
-                        work.text_complete_at_s,
-                        work.item.item_id,
-                        job,
-                        work,
-                    )
+                urgency = _Urgency(
+                    awaited=work.rank.awaited,
+                    unfinished_in_group=unfinished[work.item.group],
+                    text_complete_at_s=work.text_complete_at_s,
+                    item_id=work.item.item_id,
                 )
-        due.sort(key=lambda entry: entry[:4])
-        for *_, job, work in due:
+                due.append((urgency, job, work))
+        due.sort(key=lambda entry: entry[0])
+        for _, job, work in due:
             left_s = remaining_s(job, work)
             if left_s > 0:
                 self._start(job, work, table, left_s)
@@ -176,6 +183,11 @@
         work.task = self._create_task(
             self._call(job, work, call, route, service, left_s, max_failures)
         )
+        # A task that is cancelled before it starts runs none of its own code.
+        work.task.add_done_callback(lambda _: self._release(service))
+
+    def _release(self, service: str) -> None:
+        self._in_flight[service] -= 1
 
     def _limit(self, service: str) -> int:
         slots = sum(backend.instance.slots for backend in self._directory.backends(service))
@@ -206,7 +218,6 @@
             outcome = await self._send(request, route, service, max_failures)
         finally:
             work.task = None
-            self._in_flight[service] -= 1
         now_s = self._clock.monotonic_s()
         self.counts[outcome.end] += 1
         if outcome.end is ScoreEnd.SCORED:
