--- a/src/verbenawind/state/heartbeats.py
+++ b/src/verbenawind/state/heartbeats.py
@@ -85,12 +85,12 @@
         self.at_s = at_s
         self.heard = heard
 
-    @property
-    def max_age_s(self) -> float:
-        """The age up to which the heartbeat shows that its daemon can be given work."""
-        if not self.heard:
-            return _MAX_UNHEARD_AGE_S
-        return min(_IDLE_TIMEOUT_S, _MISSED_PERIODS * self.heartbeat.period_s)
+    def shows_life(self, now_s: float) -> bool:
+        """Return whether the heartbeat is recent enough for its daemon to be given work."""
+        max_age_s = _MAX_UNHEARD_AGE_S
+        if self.heard:
+            max_age_s = min(_IDLE_TIMEOUT_S, _MISSED_PERIODS * self.heartbeat.period_s)
+        return now_s - self.at_s <= max_age_s
 
 
 class HostHeartbeats:
@@ -208,8 +208,7 @@
             heartbeat
             for heartbeat in self.others()
             if heartbeat.location.zone == self._own.location.zone
-            and now_s - self._received[heartbeat.host].at_s
-            <= self._received[heartbeat.host].max_age_s
+            and self._received[heartbeat.host].shows_life(now_s)
         ]
 
     def is_gone(self, owner_id: str, since_s: float, *, unanswered: bool = False) -> bool:
