List the last result of a group at once

Results waited 0.1 s for others of their transaction, also the one that completes a group, and a reader at another host looked each 0.2 s. Ruled out: fewer results a transaction for all: it costs a transaction each.

--- a/src/verbenawind/batches/listing.py
+++ b/src/verbenawind/batches/listing.py
@@ -53,11 +53,14 @@
         self.listed = 0
 
     def is_due(self, job: OwnedJob) -> bool:
-        """Return whether a job's results should be listed now."""
+        """Return whether a job's results should be listed now.
+
+        A trainer waits for whole groups, so the last result of a group is listed at once.
+        """
         if job.commit_task is not None or not (job.finished or not job.unfinished):
             return False
         waited_s = self._clock.monotonic_s() - job.finished_since_s
-        return not job.unfinished or waited_s >= _COMMIT_DELAY_S
+        return job.completes_group or not job.unfinished or waited_s >= _COMMIT_DELAY_S
 
     async def commit(self, job: OwnedJob) -> None:
         """List finished results, or close the job if all are listed.
@@ -76,6 +79,7 @@
 
     async def _list(self, job: OwnedJob) -> None:
         batch = list(job.finished)
+        job.completes_group = False
         repeated = False
         while True:
             try:
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -71,6 +71,7 @@
         "_unlisted",
         "commit_task",
         "completed",
+        "completes_group",
         "finished",
         "finished_since_s",
         "next_write_at_s",
@@ -100,6 +101,8 @@
         self.submission = submission
         self.tail = tail or Tail()
         self.finished: list[ItemResult] = []
+        # Whether a finished result that is not listed yet is the last one of its group.
+        self.completes_group = False
         # Complete texts of the items that this daemon has finished.
         self.completed: dict[str, PartialText] = {}
         self.finished_since_s = 0.0
@@ -156,6 +159,9 @@
     def finish(self, result: ItemResult, now_s: float) -> None:
         """Remove a finished item and queue its result for listing."""
         self.unfinished.pop(result.item_id, None)
+        group = self._group_of[result.item_id]
+        if not any(work.item.group == group for work in self.unfinished.values()):
+            self.completes_group = True
         if not self.finished:
             self.finished_since_s = now_s
         self.finished.append(result)
--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -19,7 +19,7 @@
 # Timeout of a store call made on behalf of a caller.
 _READ_TIMEOUT_S = 2.0
 # Polling interval while a caller waits for results.
-_POLL_S = 0.2
+_POLL_S = 0.1
 # A shorter remaining wait is treated as expired.
 _MIN_WAIT_S = 0.001
 _RETRY_S = 0.5
