Split the rows of jobs from their store, and name what checks an item before its call

Change: batches/job_rows.py holds names and types of rows, moved as they were; renames; comments. Before and after: behaviour unchanged; the tests of batches, nodes and the platform pass.

--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -1,7 +1,8 @@
 """Batch jobs: accepted once, run on any engine with a free slot, listed at fixed positions."""
 
 from verbenawind.batches.job_registry import JobRegistry
-from verbenawind.batches.job_store import JOBS_TABLE, JobStore, StoredJob
+from verbenawind.batches.job_rows import JOBS_TABLE, StoredJob
+from verbenawind.batches.job_store import JobStore
 from verbenawind.batches.owner_monitor import OwnerMonitor, PeerProbe, ProbeResult
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.service import BatchJobs
--- a/src/verbenawind/batches/job_registry.py
+++ b/src/verbenawind/batches/job_registry.py
@@ -5,7 +5,7 @@
 import msgspec
 import structlog
 
-from verbenawind.batches.job_store import StoredJob, decode_job
+from verbenawind.batches.job_rows import StoredJob, decode_job
 from verbenawind.batches.types import JobRecord, JobState
 from verbenawind.clock import Clock
 from verbenawind.kernel.row_ports import StoredRow
--- a/src/verbenawind/batches/job_store.py
+++ b/src/verbenawind/batches/job_store.py
@@ -4,6 +4,26 @@
 
 import msgspec
 
+from verbenawind.batches.job_rows import (
+    JOBS_TABLE,
+    RESULTS_TABLE,
+    SUBMISSIONS_TABLE,
+    TAILS_TABLE,
+    TEXTS_TABLE,
+    KeptText,
+    StoredJob,
+    StoredResult,
+    Tail,
+    decode_job,
+    job_row,
+    position_key,
+    result_row,
+    submission_object,
+    submission_row,
+    tail_row,
+    text_row,
+    to_stored_result,
+)
 from verbenawind.batches.types import (
     BatchSubmission,
     ItemResult,
@@ -13,7 +33,6 @@
 )
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.ids import digest_hex
-from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import (
     RowCheck,
     RowId,
@@ -23,16 +42,8 @@
     replacement_transaction,
 )
 
-__all__ = ["JOBS_TABLE", "JobStore", "KeptText", "StoredJob", "Tail", "decode_job"]
+__all__ = ["JobStore"]
 
-JOBS_TABLE = "batch-jobs"
-_RESULTS_TABLE = "batch-results"
-_TAILS_TABLE = "batch-tails"
-_TEXTS_TABLE = "batch-texts"
-_SUBMISSIONS_TABLE = "batch-submissions"
-_JOB_KEY = "job"
-_TAIL_KEY = "tail"
-_POSITION_DIGITS = 8
 # Fraction of a row's size limit that results may fill; the rest is left for the encoding.
 _MAX_ROW_FILL = 0.9
 _MAX_TRANSACTION_BYTES = 400 * 1024
@@ -45,54 +56,6 @@
 _MAX_END_ATTEMPTS = 5
 
 
-class StoredJob(Value, frozen=True, kw_only=True):
-    """A job's record and the version of its row."""
-
-    record: JobRecord
-    version: int
-
-
-class Tail(Value, frozen=True, kw_only=True):
-    """The number of listed results, and the version of the row that holds it.
-
-    Every transaction that lists results checks and writes this row, so that no two transactions
-    can write the same positions.
-    """
-
-    listed: int = 0
-    version: int = 0
-
-
-class KeptText(Value, frozen=True, kw_only=True, array_like=True):
-    """A piece of an item's partial text, starting at event number ``first``, counted from 0.
-
-    ``versions`` are the weight versions of the entire text up to the end of this piece. After a
-    ``complete`` piece nothing follows; the item waits for its score.
-    """
-
-    item_id: str
-    first: int
-    events: tuple[str, ...]
-    last_event: int
-    versions: tuple[int, ...]
-    last_version: int
-    complete: bool = False
-
-
-class _StoredResult(Value, frozen=True, kw_only=True, array_like=True):
-    """A result as stored in a row.
-
-    A text that is too large for a row is stored as an object, named by ``text_object``.
-    """
-
-    item_id: str
-    state: str
-    text: str
-    versions: tuple[int, ...]
-    text_object: str = ""
-    score: str = ""
-
-
 class JobStore:
     """Reads and writes jobs, results and partial texts.
 
@@ -124,10 +87,10 @@
             record = msgspec.structs.replace(record, submission_rows=len(pieces))
         else:
             pieces = []
-            await self._put(_submission_object(record.job_id), data, timeout_s)
-        writes = [RowWrite(row_id=_job_row(record.job_id), value=msgspec.json.encode(record))]
+            await self._put(submission_object(record.job_id), data, timeout_s)
+        writes = [RowWrite(row_id=job_row(record.job_id), value=msgspec.json.encode(record))]
         writes += [
-            RowWrite(row_id=_submission_row(record.job_id, number), value=piece)
+            RowWrite(row_id=submission_row(record.job_id, number), value=piece)
             for number, piece in enumerate(pieces)
         ]
         transaction = RowTransaction(
@@ -158,7 +121,7 @@
         if record.submission_rows:
             data = await self._submission_data(record, timeout_s)
         else:
-            data = await self._store.get_object(_submission_object(record.job_id), timeout_s)
+            data = await self._store.get_object(submission_object(record.job_id), timeout_s)
         if data is None:
             raise StoreUnavailable(
                 f"the submission of job {record.job_id} is missing from the store",
@@ -171,10 +134,10 @@
         pieces: list[bytes] = []
         while len(pieces) < record.submission_rows:
             page = await self._store.rows(
-                _SUBMISSIONS_TABLE,
+                SUBMISSIONS_TABLE,
                 record.job_id,
                 timeout_s,
-                first=_position_key(len(pieces)),
+                first=position_key(len(pieces)),
             )
             found = [row.value for row in page.rows if row.value is not None]
             if not found:
@@ -193,7 +156,7 @@
         Raises:
             RowConflict: The record has changed since it was read.
         """
-        row_id = _job_row(record.job_id)
+        row_id = job_row(record.job_id)
         version = await self._store.commit(
             replacement_transaction(row_id, job.version, msgspec.json.encode(record)), timeout_s
         )
@@ -217,7 +180,7 @@
 
     async def tail(self, job_id: str, timeout_s: float) -> Tail:
         """Return the end of a job's result list."""
-        page = await self._store.rows(_TAILS_TABLE, job_id, timeout_s)
+        page = await self._store.rows(TAILS_TABLE, job_id, timeout_s)
         for row in page.rows:
             if row.value is not None:
                 return Tail(listed=int(row.value), version=row.version)
@@ -243,8 +206,8 @@
         """
         job_id = job.record.job_id
         checks = [
-            RowCheck(row_id=_job_row(job_id), version=job.version),
-            RowCheck(row_id=_tail_row(job_id), version=tail.version),
+            RowCheck(row_id=job_row(job_id), version=job.version),
+            RowCheck(row_id=tail_row(job_id), version=tail.version),
         ]
         writes: list[RowWrite] = []
         listed = size_bytes = 0
@@ -254,11 +217,11 @@
                 break
             listed += count
             size_bytes += len(row)
-            row_id = _result_row(job_id, tail.listed + listed - 1)
+            row_id = result_row(job_id, tail.listed + listed - 1)
             checks.append(RowCheck(row_id=row_id, version=0))
             writes.append(RowWrite(row_id=row_id, value=row))
         total = tail.listed + listed
-        writes.append(RowWrite(row_id=_tail_row(job_id), value=str(total).encode()))
+        writes.append(RowWrite(row_id=tail_row(job_id), value=str(total).encode()))
         version = await self._store.commit(
             RowTransaction(checks=tuple(checks), writes=tuple(writes)),
             timeout_s,
@@ -282,7 +245,7 @@
             RowConflict: The job's row has changed, or a piece was already written.
         """
         job_id = job.record.job_id
-        checks = [RowCheck(row_id=_job_row(job_id), version=job.version)]
+        checks = [RowCheck(row_id=job_row(job_id), version=job.version)]
         writes: list[RowWrite] = []
         size_bytes = 0
         for text in texts:
@@ -290,7 +253,7 @@
             too_large = len(value) > self._max_row_bytes
             if too_large or (writes and size_bytes + len(value) > _MAX_TRANSACTION_BYTES):
                 break
-            row_id = _text_row(job_id, text)
+            row_id = text_row(job_id, text)
             checks.append(RowCheck(row_id=row_id, version=0))
             writes.append(RowWrite(row_id=row_id, value=value))
             size_bytes += len(value)
@@ -307,7 +270,7 @@
         found: list[KeptText] = []
         first, more = "", True
         while more:
-            page = await self._store.rows(_TEXTS_TABLE, job_id, timeout_s, first=first)
+            page = await self._store.rows(TEXTS_TABLE, job_id, timeout_s, first=first)
             found += [
                 msgspec.msgpack.decode(row.value, type=KeptText)
                 for row in page.rows
@@ -322,14 +285,14 @@
     ) -> Sequence[ItemResult]:
         """Return listed results from a position on, as many as fit into one response."""
         page = await self._store.rows(
-            _RESULTS_TABLE, job_id, timeout_s, first=_position_key(after), limit=limit
+            RESULTS_TABLE, job_id, timeout_s, first=position_key(after), limit=limit
         )
         found: list[ItemResult] = []
         size_bytes = 0
         for row in page.rows:
             if row.value is None:
                 continue
-            stored = msgspec.msgpack.decode(row.value, type=list[_StoredResult])
+            stored = msgspec.msgpack.decode(row.value, type=list[StoredResult])
             first = int(row.row_id.key) - len(stored) + 1
             for result in stored[max(0, after - first) :]:
                 text = await self._load_text(result, timeout_s)
@@ -356,7 +319,7 @@
             RowConflict: The job has changed since it was read.
         """
         job_id = job.record.job_id
-        for table in (_RESULTS_TABLE, _TEXTS_TABLE, _TAILS_TABLE, _SUBMISSIONS_TABLE):
+        for table in (RESULTS_TABLE, TEXTS_TABLE, TAILS_TABLE, SUBMISSIONS_TABLE):
             while rows := (
                 await self._store.rows(table, job_id, timeout_s, limit=_MAX_DELETED_ROWS)
             ).rows:
@@ -364,8 +327,8 @@
                     await self._drop_text_objects(table, result.value, timeout_s)
                 await self._delete([(row.row_id, row.version) for row in rows], timeout_s)
         if not job.record.submission_rows:
-            await self._store.delete_object(_submission_object(job_id), timeout_s)
-        await self._delete([(_job_row(job_id), job.version)], timeout_s)
+            await self._store.delete_object(submission_object(job_id), timeout_s)
+        await self._delete([(job_row(job_id), job.version)], timeout_s)
 
     async def _delete(self, rows: Sequence[tuple[RowId, int]], timeout_s: float) -> None:
         checks = tuple(RowCheck(row_id=row_id, version=version) for row_id, version in rows)
@@ -374,9 +337,9 @@
 
     async def _drop_text_objects(self, table: str, value: bytes | None, timeout_s: float) -> None:
         """Delete the objects of texts that were too large for a result row."""
-        if table != _RESULTS_TABLE or value is None:
+        if table != RESULTS_TABLE or value is None:
             return
-        for result in msgspec.msgpack.decode(value, type=list[_StoredResult]):
+        for result in msgspec.msgpack.decode(value, type=list[StoredResult]):
             if result.text_object:
                 await self._store.delete_object(result.text_object, timeout_s)
 
@@ -385,10 +348,10 @@
     ) -> tuple[bytes, int]:
         """Return a row's value with as many of the results as fit, and their number."""
         room_bytes = int(self._max_row_bytes * _MAX_ROW_FILL)
-        row: list[_StoredResult] = []
+        row: list[StoredResult] = []
         encoded = b""
         for result in results:
-            stored = _to_stored(result)
+            stored = to_stored_result(result)
             if len(msgspec.msgpack.encode([stored])) > room_bytes:
                 stored = await self._store_as_object(job_id, stored, timeout_s)
             candidate = msgspec.msgpack.encode([*row, stored])
@@ -399,14 +362,14 @@
         return encoded, len(row)
 
     async def _store_as_object(
-        self, job_id: str, stored: _StoredResult, timeout_s: float
-    ) -> _StoredResult:
+        self, job_id: str, stored: StoredResult, timeout_s: float
+    ) -> StoredResult:
         data = stored.text.encode()
         name = f"text-{job_id}-{stored.item_id}-{digest_hex(data)[:16]}"
         await self._put(name, data, timeout_s)
         return msgspec.structs.replace(stored, text="", text_object=name)
 
-    async def _load_text(self, result: _StoredResult, timeout_s: float) -> str:
+    async def _load_text(self, result: StoredResult, timeout_s: float) -> str:
         if not result.text_object:
             return result.text
         data = await self._store.get_object(result.text_object, timeout_s)
@@ -423,52 +386,3 @@
         except StoreUnavailable as error:
             # An object has no effect until a row refers to it.
             raise StoreUnavailable(error.message, effect_possible=False) from error
-
-
-def decode_job(value: bytes) -> JobRecord:
-    """Decode the value of a job's row."""
-    return msgspec.json.decode(value, type=JobRecord)
-
-
-def _to_stored(result: ItemResult) -> _StoredResult:
-    return _StoredResult(
-        item_id=result.item_id,
-        state=result.state.value,
-        text=result.text,
-        versions=result.versions,
-        score=result.score,
-    )
-
-
-def _job_row(job_id: str) -> RowId:
-    return RowId(table=JOBS_TABLE, part=job_id, key=_JOB_KEY)
-
-
-def _tail_row(job_id: str) -> RowId:
-    return RowId(table=_TAILS_TABLE, part=job_id, key=_TAIL_KEY)
-
-
-def _text_row(job_id: str, text: KeptText) -> RowId:
-    key = f"{text.item_id}/{_position_key(text.first)}"
-    return RowId(table=_TEXTS_TABLE, part=job_id, key=key)
-
-
-def _result_row(job_id: str, last_position: int) -> RowId:
-    """Return the id of a result row.
-
-    The key is the row's last position, so that a scan from any position starts at the row that
-    contains it.
-    """
-    return RowId(table=_RESULTS_TABLE, part=job_id, key=_position_key(last_position))
-
-
-def _position_key(position: int) -> str:
-    return f"{position:0{_POSITION_DIGITS}d}"
-
-
-def _submission_row(job_id: str, number: int) -> RowId:
-    return RowId(table=_SUBMISSIONS_TABLE, part=job_id, key=_position_key(number))
-
-
-def _submission_object(job_id: str) -> str:
-    return f"batch-{job_id}"
--- a/src/verbenawind/batches/loading.py
+++ b/src/verbenawind/batches/loading.py
@@ -5,7 +5,8 @@
 import structlog
 
 from verbenawind.batches.item_run import PartialText
-from verbenawind.batches.job_store import JobStore, KeptText, StoredJob, Tail
+from verbenawind.batches.job_rows import KeptText, StoredJob, Tail
+from verbenawind.batches.job_store import JobStore
 from verbenawind.batches.types import BatchSubmission
 from verbenawind.clock import Clock
 from verbenawind.errors import StoreUnavailable
--- a/src/verbenawind/batches/owned_job.py
+++ b/src/verbenawind/batches/owned_job.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from verbenawind.batches.item_run import PartialText
-from verbenawind.batches.job_store import KeptText, StoredJob, Tail
+from verbenawind.batches.job_rows import KeptText, StoredJob, Tail
 from verbenawind.batches.ordering import Rank, rank_items
 from verbenawind.batches.types import BatchItem, BatchSubmission, ItemResult
 
--- a/src/verbenawind/batches/partial_texts.py
+++ b/src/verbenawind/batches/partial_texts.py
@@ -2,7 +2,8 @@
 
 import structlog
 
-from verbenawind.batches.job_store import JobStore, KeptText
+from verbenawind.batches.job_rows import KeptText
+from verbenawind.batches.job_store import JobStore
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -11,7 +11,8 @@
 from verbenawind.batches.engine_selection import EngineSelector
 from verbenawind.batches.item_run import RunLimits, RunnerCounts, run_item
 from verbenawind.batches.job_registry import JobRegistry
-from verbenawind.batches.job_store import JobStore, StoredJob
+from verbenawind.batches.job_rows import StoredJob
+from verbenawind.batches.job_store import JobStore
 from verbenawind.batches.listing import ResultLister
 from verbenawind.batches.loading import JobLoader
 from verbenawind.batches.ordering import EngineChoice, Rank
@@ -297,7 +298,7 @@
         if route is None:
             self._outcomes.terminate(job, work, "its route was removed")
             return True
-        remaining_s = self._retention_left_s(job, work, route)
+        remaining_s = self._check_retention_s(job, work, route)
         if remaining_s <= 0:
             return True
         service = service_of(route, record.job_id)
@@ -319,8 +320,8 @@
         work.task.add_done_callback(lambda _: backend.end())
         return True
 
-    def _retention_left_s(self, job: OwnedJob, work: ItemWork, route: Route) -> float:
-        """Return how long an item may still take; an item without time left is terminated."""
+    def _check_retention_s(self, job: OwnedJob, work: ItemWork, route: Route) -> float:
+        """Return how long an item may still take, and terminate it if no time is left."""
         if not route.retention_s:
             return _DEFAULT_RETENTION_S
         remaining_s = route.retention_s - self._age_s(job)
@@ -331,7 +332,8 @@
     def _start_scoring(self, table: RouteTable) -> None:
         """Start the scoring calls of complete texts."""
 
-        def remaining_s(job: OwnedJob, work: ItemWork) -> float:
+        def time_for_call_s(job: OwnedJob, work: ItemWork) -> float:
+            """Settle an item that needs no call or may have none; return 0 for these."""
             route = table.match(job.submission.host, work.item.path.partition("?")[0])
             if route is None:
                 self._outcomes.terminate(job, work, "its route was removed")
@@ -342,9 +344,9 @@
             if work.item.scoring is None:
                 self._outcomes.finish(job, work)
                 return 0.0
-            return self._retention_left_s(job, work, route)
+            return self._check_retention_s(job, work, route)
 
-        self.scoring.start_calls(list(self.jobs.values()), table, remaining_s)
+        self.scoring.start_calls(list(self.jobs.values()), table, time_for_call_s)
 
     def _score_call_ended(self, job: OwnedJob, work: ItemWork, outcome: ScoreOutcome) -> None:
         if self.jobs.get(job.job_id) is job:
--- a/src/verbenawind/batches/scoring.py
+++ b/src/verbenawind/batches/scoring.py
@@ -137,14 +137,14 @@
         self,
         jobs: Iterable[OwnedJob],
         table: RouteTable,
-        remaining_s: Callable[[OwnedJob, ItemWork], float],
+        time_for_call_s: Callable[[OwnedJob, ItemWork], float],
     ) -> None:
         """Start the calls that are due, as many as the limits of their services allow.
 
         Args:
             jobs: The jobs of this daemon.
             table: The routes in force.
-            remaining_s: Returns how long an item may still take before it is terminated.
+            time_for_call_s: Returns how long an item's call may take, 0 if the item gets none.
         """
         now_s = self._clock.monotonic_s()
         due: list[tuple[_Urgency, OwnedJob, ItemWork]] = []
@@ -163,7 +163,7 @@
                 due.append((urgency, job, work))
         due.sort(key=lambda entry: entry[0])
         for _, job, work in due:
-            left_s = remaining_s(job, work)
+            left_s = time_for_call_s(job, work)
             if left_s > 0:
                 self._start(job, work, table, left_s)
 
--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -6,7 +6,8 @@
 import structlog
 
 from verbenawind.batches.job_registry import JobRegistry
-from verbenawind.batches.job_store import JobStore, StoredJob
+from verbenawind.batches.job_rows import StoredJob
+from verbenawind.batches.job_store import JobStore
 from verbenawind.batches.placement import place_job
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.types import BatchSubmission, JobRecord, JobState, ResultsPage
--- a/src/verbenawind/gateway/balance.py
+++ b/src/verbenawind/gateway/balance.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Choice", "choose", "no_server_error"]
 
-# Typical round-trip times, which dominate until latencies have been measured.
+# Round-trip times assumed for servers whose latency is not known yet.
 _CROSS_ZONE_S = 0.003
 _CROSS_REGION_S = 0.025
 _NO_SERVER_RETRY_S = 0.5
--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -57,7 +57,7 @@
     weighted_services: list[_Share] = []
     resumable: bool = False
     single_version: bool = False
-    # Both are measured from the first submission of a batch job.
+    # Both count from the first submission of a batch job.
     result_deadline_ms: float = 0
     retention_s: float = 0
 
--- a/tests/batches/test_engine_selection.py
+++ b/tests/batches/test_engine_selection.py
@@ -12,7 +12,7 @@
 from node.fleet import MODEL, job
 from verbenawind.batches.engine_selection import EngineSelector
 from verbenawind.batches.item_run import PartialText, RunEnd, RunOutcome
-from verbenawind.batches.job_store import StoredJob
+from verbenawind.batches.job_rows import StoredJob
 from verbenawind.batches.ordering import EngineChoice, rank_items
 from verbenawind.batches.outcomes import OutcomeHandler
 from verbenawind.batches.owned_job import ItemWork, OwnedJob
--- a/tests/node/test_job_store_conditions.py
+++ b/tests/node/test_job_store_conditions.py
@@ -13,7 +13,7 @@
 
 from node.fleet import job
 from verbenawind.batches import ItemResult, JobRecord, JobState, JobStore, ResultState, StoredJob
-from verbenawind.batches.job_store import KeptText, Tail
+from verbenawind.batches.job_rows import KeptText, Tail
 from verbenawind.errors import RowConflict
 from verbenawind.standins.deployment import run_virtual
 from verbenawind.standins.row_store import MemoryRowStore
--- a/tests/node/test_retained_work.py
+++ b/tests/node/test_retained_work.py
@@ -10,7 +10,7 @@
 from node.fleet import Fleet, check_complete, job, run_fleet
 from verbenawind.batches import BatchSubmission, JobRecord, ResultState
 from verbenawind.batches.item_run import PartialText
-from verbenawind.batches.job_store import StoredJob
+from verbenawind.batches.job_rows import StoredJob
 from verbenawind.batches.owned_job import OwnedJob
 from verbenawind.batches.retained_work import RetainedWork
 
