Move the probe of an address to the kernel

Cause: the gateway needs the same probe as the owner monitor, and batches imports the gateway. Change: ProbeResult and PeerProbe (now AddressProbe) stand in kernel/probe_ports.py, unchanged.

--- a/src/verbenawind/batches/__init__.py
+++ b/src/verbenawind/batches/__init__.py
@@ -3,7 +3,7 @@
 from verbenawind.batches.job_registry import JobRegistry
 from verbenawind.batches.job_rows import JOBS_TABLE, StoredJob
 from verbenawind.batches.job_store import JobStore
-from verbenawind.batches.owner_monitor import OwnerMonitor, PeerProbe, ProbeResult
+from verbenawind.batches.owner_monitor import OwnerMonitor
 from verbenawind.batches.runner import BatchRunner
 from verbenawind.batches.service import BatchJobs
 from verbenawind.batches.sweeping import JobSweeper
@@ -33,8 +33,6 @@
     "JobSweeper",
     "JobTakeover",
     "OwnerMonitor",
-    "PeerProbe",
-    "ProbeResult",
     "ResultState",
     "ResultsPage",
     "ScoringCall",
--- a/src/verbenawind/batches/owner_monitor.py
+++ b/src/verbenawind/batches/owner_monitor.py
@@ -5,15 +5,14 @@
 
 import asyncio
 from collections import OrderedDict
-from enum import StrEnum
-from typing import Protocol
 
 import structlog
 
 from verbenawind.clock import Clock
+from verbenawind.kernel.probe_ports import AddressProbe, ProbeResult
 from verbenawind.state.heartbeats import HostHeartbeat, HostHeartbeats
 
-__all__ = ["OwnerMonitor", "PeerProbe", "ProbeResult"]
+__all__ = ["OwnerMonitor"]
 
 # Silence after which an owner's host is probed. A busy host writes a heartbeat every 0.5 s, and it
 # arrives up to one polling interval of the feed later.
@@ -25,21 +24,6 @@
 _MAX_REFUSED = 1000
 
 
-class ProbeResult(StrEnum):
-    """The result of connecting to a daemon's address."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    NONE = "none"
-
-
-class PeerProbe(Protocol):
-    """Distinguishes a host on which no daemon runs from a host that cannot be reached."""
-
-    async def connect(self, address: str) -> ProbeResult:
-        """Return the result of connecting to a daemon's address, within about 0.3 s."""
-
-
 class OwnerMonitor:
     """Decides from heartbeats and probes whether owners have failed.
 
@@ -63,7 +47,7 @@
         "_unanswered",
     )
 
-    def __init__(self, heartbeats: HostHeartbeats, probe: PeerProbe, clock: Clock) -> None:
+    def __init__(self, heartbeats: HostHeartbeats, probe: AddressProbe, clock: Clock) -> None:
         self._heartbeats = heartbeats
         self._probe = probe
         self._clock = clock
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -23,7 +23,6 @@
     JobSweeper,
     JobTakeover,
     OwnerMonitor,
-    PeerProbe,
     StoredJob,
 )
 from verbenawind.clock import Clock
@@ -38,6 +37,7 @@
 )
 from verbenawind.ids import new_id
 from verbenawind.kernel.messages import Location, Value
+from verbenawind.kernel.probe_ports import AddressProbe
 from verbenawind.kernel.rendezvous import top_members
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow
 from verbenawind.state.heartbeats import HOSTS_TABLE, HostHeartbeat, HostHeartbeats
@@ -127,7 +127,7 @@
         backends: BackendPort,
         orders: OrderPort,
         registry: RegistryFormat,
-        probe: PeerProbe,
+        probe: AddressProbe,
         clock: Clock,
         boot_s: Callable[[], float],
         rng: Random,
--- a/src/verbenawind/plugins/tcp_probe.py
+++ b/src/verbenawind/plugins/tcp_probe.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from verbenawind.batches import ProbeResult
+from verbenawind.kernel.probe_ports import ProbeResult
 
 __all__ = ["TcpProbe"]
 
 
 class TcpProbe:
-    """Probes hosts over TCP; implements the PeerProbe port.
+    """Probes hosts over TCP; implements the AddressProbe port.
 
     Args:
         timeout_s: Timeout of a probe, in seconds.
