Judge whether a server's process ended under unanswered requests

Ruled out: registry entries alone as evidence. They also expire in a partition from the store, and some servers leave without a word; a lost connection alone is a reset as often as a crash. Change: ServerEndMonitor probes the address after a send broke and follows the registry; its judgement is the line server_end_judged, with evidence and age of the view, and the metric server_ends by evidence. It is revoked when the same process answers or registers again. send_failed and stream_broke carry the request's fingerprint, the same for all its repeats, and the start of the server's process. request_suspected names the requests on an ended server.

--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,9 +1,11 @@
 """Routes requests by host and path to registered backend servers, without reading the bodies."""
 
+from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.routes import RouteTable, service_of
+from verbenawind.gateway.server_ends import EndEvidence, ServerEndMonitor
 from verbenawind.gateway.streaming import StreamForwarder
 from verbenawind.gateway.types import (
     EngineTraits,
@@ -22,16 +24,20 @@
     "BackendPort",
     "BackendResponse",
     "CallerRequest",
+    "CrashGuard",
     "Directory",
+    "EndEvidence",
     "EngineTraits",
     "Forwarder",
     "GatewayConfiguration",
+    "GuardedRequest",
     "IngressLimits",
     "Instance",
     "Reply",
     "Route",
     "RouteKind",
     "RouteTable",
+    "ServerEndMonitor",
     "ServerState",
     "Service",
     "ServiceShare",
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -47,6 +47,7 @@
         "_measured_at_s",
         "_suspected_until_s",
         "instance",
+        "last_answer_s",
         "outstanding",
         "removed_at_s",
         "versions",
@@ -63,6 +64,8 @@
         self._latency_s = 0.0
         self._measured_at_s = 0.0
         self._last_contact_s = clock.monotonic_s()
+        # Time of the last complete response, None before the first one.
+        self.last_answer_s: float | None = None
 
     @property
     def belief(self) -> ServerState:
@@ -73,6 +76,11 @@
             return ServerState.DRAINING
         return ServerState.SUSPECTED if self.suspected else ServerState.GOOD
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announced that it leaves, or its registration was removed."""
+        return self.instance.draining or self.removed_at_s is not None
+
     @property
     def last_contact_age_s(self) -> float:
         """Seconds since the server last responded or failed, or was registered."""
@@ -101,7 +109,7 @@
         """Record a successful response and its duration."""
         self._failures = 0
         self._suspected_until_s = 0.0
-        self._last_contact_s = self._clock.monotonic_s()
+        self._last_contact_s = self.last_answer_s = self._clock.monotonic_s()
         known_s = self.latency_s
         self._latency_s = (
             known_s + _LATENCY_WEIGHT * (latency_s - known_s) if known_s else latency_s
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -12,6 +12,7 @@
     VerbenawindError,
 )
 from verbenawind.gateway.balance import choose
+from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
@@ -77,6 +78,7 @@
     __slots__ = (
         "answered",
         "error_reply",
+        "guarded",
         "hedge_checks",
         "history",
         "request",
@@ -86,8 +88,11 @@
         "tried",
     )
 
-    def __init__(self, request: CallerRequest, route: Route, service: str) -> None:
+    def __init__(
+        self, request: CallerRequest, route: Route, service: str, guarded: GuardedRequest
+    ) -> None:
         self.request = request
+        self.guarded = guarded
         self.route = route
         self.service = service
         self.tried: set[str] = set()
@@ -116,13 +121,20 @@
         port: Sends requests to them.
         location: Where this daemon runs.
         clock: Time source.
+        guard: Tracks requests under which servers end.
     """
 
-    __slots__ = ("_clock", "_directory", "_hedge_tokens", "_location", "_log", "_port")
+    __slots__ = ("_clock", "_directory", "_guard", "_hedge_tokens", "_location", "_log", "_port")
 
     def __init__(
-        self, directory: Directory, port: BackendPort, location: Location, clock: Clock
+        self,
+        directory: Directory,
+        port: BackendPort,
+        location: Location,
+        clock: Clock,
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self._directory = directory
         self._port = port
         self._location = location
@@ -136,7 +148,7 @@
         Raises:
             VerbenawindError: No server responded; the outcome tells whether one may have run it.
         """
-        exchange = _Exchange(request, route, service)
+        exchange = _Exchange(request, route, service, self._guard.open(request))
         self._hedge_tokens = min(
             _MAX_HEDGE_TOKENS, self._hedge_tokens + 1.0 / _REQUESTS_PER_HEDGE_TOKEN
         )
@@ -247,6 +259,7 @@
 
     async def _send(self, exchange: _Exchange, backend: Backend, remaining_s: float) -> Reply:
         started_s = self._clock.monotonic_s()
+        sent_ms = exchange.guarded.now_ms()
         attempt = Attempt(
             request=exchange.request,
             remaining_s=remaining_s,
@@ -266,6 +279,7 @@
             raise
         except BackendServerFailed as error:
             exchange.history.failed(error)
+            exchange.guarded.broke(backend, sent_ms)
             backend.failed()
             self._log_failure(exchange, backend, error)
             raise
@@ -274,6 +288,8 @@
                 response.close()
             if exchange.answered:
                 backend.record_unanswered(self._clock.monotonic_s() - started_s)
+            else:
+                exchange.guarded.unanswered(backend, sent_ms)
             raise
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
@@ -282,7 +298,9 @@
         self._log.info(
             "send_failed",
             request_id=exchange.request.request_id,
+            fingerprint=exchange.guarded.fingerprint,
             server=backend.instance.instance_id,
+            started_ms=backend.instance.started_ms,
             error=error.message,
             may_have_run=isinstance(error, BackendServerFailed),
         )
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -12,6 +12,7 @@
     BackendServerUnreachable,
 )
 from verbenawind.gateway.balance import choose
+from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
@@ -34,13 +35,20 @@
         port: Sends requests to them.
         location: Where this daemon runs.
         clock: Time source.
+        guard: Tracks requests under which servers end.
     """
 
-    __slots__ = ("_clock", "_directory", "_location", "_log", "_port")
+    __slots__ = ("_clock", "_directory", "_guard", "_location", "_log", "_port")
 
     def __init__(
-        self, directory: Directory, port: BackendPort, location: Location, clock: Clock
+        self,
+        directory: Directory,
+        port: BackendPort,
+        location: Location,
+        clock: Clock,
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self._directory = directory
         self._port = port
         self._location = location
@@ -56,6 +64,7 @@
             VerbenawindError: The stream did not start, or broke and cannot be resumed.
         """
         tried: set[str] = set()
+        guarded = self._guard.open(request)
         first_response: BackendResponse | None = None
         last_id = request.resume_after
         history = SendHistory(
@@ -84,6 +93,7 @@
                 outstanding=choice.outstanding,
             )
             history.sent()
+            sent_ms = guarded.now_ms()
             backend.begin()
             response: BackendResponse | None = None
             try:
@@ -109,14 +119,20 @@
                 backend.failed()
             except BackendServerFailed as failure:
                 history.failed(failure)
+                guarded.broke(backend, sent_ms)
                 backend.failed()
                 self._log.info(
                     "stream_broke",
                     request_id=request.request_id,
+                    fingerprint=guarded.fingerprint,
                     server=choice.instance_id,
+                    started_ms=backend.instance.started_ms,
                     error=failure.message,
                     last_event=last_id,
                 )
+            except (asyncio.CancelledError, GeneratorExit):
+                guarded.unanswered(backend, sent_ms)
+                raise
             finally:
                 backend.end()
                 if response is not None:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -75,6 +75,9 @@
     digest: Annotated[str, Meta(description="Digest of the document.")] = ""
     draining: Annotated[bool, Meta(description="Whether the server is draining.")] = False
     end: Annotated[str, Meta(description="Outcome of the run.")] = ""
+    ended: Annotated[
+        bool, Meta(description="Whether the server's process has ended without notice.")
+    ] = False
     environment: Annotated[str, Meta(description="Name and stage of the environment.")] = ""
     epoch: Annotated[
         int, Meta(description="Epoch of the owner or holder; increases with each change.")
@@ -174,6 +177,7 @@
     request_id: Annotated[
         str | None, Meta(description="Identifier of a request or batch item.")
     ] = ""
+    requests: Annotated[int, Meta(description="Number of requests left unanswered.")] = 0
     results: Annotated[int, Meta(description="Number of results in the call.")] = 0
     resume_after: Annotated[Any, Meta(description="Event after which the stream is resumed.")] = (
         None
@@ -205,6 +209,9 @@
     staleness_versions: Annotated[
         float, Meta(description="Staleness at delivery, in versions.")
     ] = 0.0
+    started_ms: Annotated[
+        int, Meta(description="Start of the server's process, in Unix milliseconds.")
+    ] = 0
     state: Annotated[str, Meta(description="State of the job.")] = ""
     status: Annotated[
         int | str, Meta(description="HTTP status, or membership status of a host.")
@@ -282,6 +289,14 @@
     "server_gone": _event(
         "A server is considered gone; logged when its service is next used.", "server"
     ),
+    "server_end_judged": _event(
+        "It was decided whether a server that left requests unanswered had ended.",
+        "server started_ms ended reason requests view_age_s",
+    ),
+    "server_end_not_watched": _event(
+        "Too many servers are watched after unanswered requests.", "server"
+    ),
+    "request_suspected": _event("A server ended while running a request.", "fingerprint crash"),
     "server_entry_unusable": _event(
         "A backend server's registration is malformed or unusable.", "server version"
     ),
@@ -315,7 +330,8 @@
         "request_id route server send remaining_s expected_s outstanding candidates suspected",
     ),
     "send_failed": _event(
-        "An attempt to send a request has failed.", "request_id server error may_have_run"
+        "An attempt to send a request has failed.",
+        "request_id fingerprint server started_ms error may_have_run",
     ),
     "request_answered": _event(
         "A server's response was forwarded.", "request_id route status took_s"
@@ -335,7 +351,8 @@
         "request_id route server resume_after remaining_s outstanding",
     ),
     "stream_broke": _event(
-        "An engine's stream ended before it was complete.", "request_id server error last_event"
+        "An engine's stream ended before it was complete.",
+        "request_id fingerprint server started_ms error last_event",
     ),
     "stream_answered": _event(
         "A stream was forwarded to its end.", "request_id route pieces took_s"
@@ -449,7 +466,6 @@
     "outcome_not_recorded": _event(
         "The outcome of a service request could not be recorded.", "key error"
     ),
-    "request_suspected": _event("A server crashed while running a request.", "fingerprint crash"),
     "request_convicted": _event(
         "Similar requests are temporarily refused.", "fingerprint crashes term_s"
     ),
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -28,11 +28,13 @@
 from verbenawind.clock import Clock
 from verbenawind.gateway import (
     BackendPort,
+    CrashGuard,
     Directory,
     Forwarder,
     GatewayConfiguration,
     Instance,
     RouteTable,
+    ServerEndMonitor,
     StreamForwarder,
 )
 from verbenawind.ids import new_id
@@ -158,7 +160,11 @@
 
         self.directory = Directory(clock)
         self.servers_feed.on_response(self.directory.feed_recovered)
-        self.forwarder = Forwarder(self.directory, backends, settings.location, clock)
+        self.server_ends = ServerEndMonitor(
+            self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
+        )
+        self.guard = CrashGuard(self.server_ends, store_ms)
+        self.forwarder = Forwarder(self.directory, backends, settings.location, clock, self.guard)
         heartbeat = HostHeartbeat(
             host=settings.host,
             incarnation=new_id("run").removeprefix("run-"),
@@ -235,7 +241,9 @@
             clock=clock,
         )
         self.job_registry.on_change(self._on_job_change)
-        self.streams = StreamForwarder(self.directory, backends, settings.location, clock)
+        self.streams = StreamForwarder(
+            self.directory, backends, settings.location, clock, self.guard
+        )
 
     @property
     def informed(self) -> bool:
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -214,6 +214,13 @@
             set_gauge("item_runs", "Runs of batch items, by outcome.", count, end=end.value)
         for score_end, count in self.node.runner.scoring.counts.items():
             set_gauge("scoring_calls", "Scoring calls, by outcome.", count, end=score_end.value)
+        for evidence, count in self.node.server_ends.counts.items():
+            set_gauge(
+                "server_ends",
+                "Decisions whether a server that left a request unanswered had ended, by evidence.",
+                count,
+                evidence=evidence.name.lower(),
+            )
         for answer, count in self.node.load_scheduler.counts.answers.items():
             set_gauge("orders", "Load orders to engines, by answer.", count, answer=answer)
         for feed in ("operator", "servers", "hosts", "jobs"):
--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -32,9 +32,11 @@
     response; ``break_after`` breaks a stream after that many events; requests in ``refuse_items``
     get status 422, those in ``fail_items`` status 500, as do the first ``failures_left`` requests;
     ``loses_responses`` runs requests and loses the responses; ``unsigned`` responses lack the
-    signature.
+    signature; requests with a body in ``crash_bodies`` end the process as they begin to run.
 
     Attributes:
+        crashes: Number of times that the process has ended.
+        on_crash: Called after each of these ends.
         started: Time, request id and resumption of each run, in order.
         finished: Time of the last event or of the response of each request.
         signatures: Signatures of the complete responses to each request.
@@ -59,6 +61,9 @@
         self.failures_left = 0
         self.loses_responses = False
         self.unsigned = False
+        self.crash_bodies: set[bytes] = set()
+        self.crashes = 0
+        self.on_crash: Callable[[], None] | None = None
         self.break_after: int | None = None
         self.loading = False
         self.orders: list[tuple[float, int, LoadOrder]] = []
@@ -66,6 +71,19 @@
         self.finished: dict[str, float] = {}
         self.signatures: defaultdict[str, set[str]] = defaultdict(set)
 
+    def crash(self) -> None:
+        """End the process, which breaks its connections; it refuses new ones until restarted."""
+        self.down = True
+        self.crashes += 1
+        self.running = 0
+        if self.on_crash is not None:
+            self.on_crash()
+
+    def restart(self, instance: Instance) -> None:
+        """Start the process again under this registry entry."""
+        self.instance = instance
+        self.down = False
+
 
 class _Answer:
     """A response of an engine; implements the BackendResponse port."""
@@ -83,6 +101,7 @@
         self._version = engine.versions.get(_requested_model(attempt), 0)
         self._request_id = attempt.request.request_id
         self._run_number = len(engine.started)
+        self._process_number = engine.crashes
         self._running = status == _OK and not refused
         self._body = [attempt.request.body] if self._running else []
 
@@ -115,7 +134,7 @@
             return b""
         await asyncio.sleep(self._engine.pace_s)
         await _wait_until(lambda: not self._engine.unresponsive)
-        if self._engine.loses_responses or self._engine.down:
+        if self._engine.loses_responses or self._process_ended:
             self.close()
             raise BackendServerFailed("the response was lost")
         return self._body.pop()
@@ -130,7 +149,7 @@
         await _wait_until(lambda: not (engine.unresponsive or engine.loading))
         self._events_sent += 1
         broken = engine.break_after is not None and self._events_sent > engine.break_after
-        if engine.down or broken:
+        if self._process_ended or broken:
             self.close()
             raise BackendServerFailed("stream broke before its end")
         version = engine.versions.get(_requested_model(self._attempt), 0)
@@ -146,11 +165,16 @@
             self._engine.signatures[self._request_id].add(self.signature)
         self.close()
 
+    @property
+    def _process_ended(self) -> bool:
+        return self._engine.down or self._engine.crashes != self._process_number
+
     def close(self) -> None:
         """End the run and free its slot."""
         if self._running:
             self._running = False
-            self._engine.running -= 1
+            if self._engine.crashes == self._process_number:
+                self._engine.running -= 1
 
 
 class OpaqueEngines:
@@ -188,6 +212,9 @@
         engine.peak_running = max(engine.peak_running, engine.running)
         now_s = asyncio.get_running_loop().time()
         engine.started.append((now_s, request_id, attempt.resume_after))
+        if attempt.request.body in engine.crash_bodies:
+            engine.crash()
+            raise BackendServerFailed("connection lost")
         return _Answer(engine, attempt, _OK)
 
     async def order(self, instance: Instance, order: LoadOrder, timeout_s: float) -> OrderReply:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -18,9 +18,10 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.directory = next(iter(fleet.members.values())).node.directory
+        node = next(iter(fleet.members.values())).node
+        self.directory = node.directory
         location = Location(zone="a", region="a")
-        self.forwarder = Forwarder(self.directory, fleet.engines, location, fleet.clock)
+        self.forwarder = Forwarder(self.directory, fleet.engines, location, fleet.clock, node.guard)
 
     def engine(self, index: int) -> OpaqueEngine:
         """Return a server by its index."""
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -12,6 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gateway.guards import create_guard
 from verbenawind.clock import LoopClock
 from verbenawind.errors import (
     AdmissionRefused,
@@ -98,6 +99,7 @@
                 versions={},
             )
         )
+    guard = create_guard(directory, clock)
     now_s = clock.monotonic_s()
     request = CallerRequest(
         request_id="r",
@@ -111,11 +113,12 @@
     )
     with pytest.raises(VerbenawindError) as caught:
         if route.kind is RouteKind.STREAMING:
-            streams = StreamForwarder(directory, servers, HERE, clock)
+            streams = StreamForwarder(directory, servers, HERE, clock, guard)
             async for _ in streams.forward(request, route, SERVICE):
                 raise AssertionError("no server answers")
         else:
-            await Forwarder(directory, servers, HERE, clock).forward(request, route, SERVICE)
+            forwarder = Forwarder(directory, servers, HERE, clock, guard)
+            await forwarder.forward(request, route, SERVICE)
     return caught.value
 
 
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -15,7 +15,6 @@
     BatchSubmission,
     ItemResult,
     JobRecord,
-    ProbeResult,
     ScoringCall,
 )
 from verbenawind.clock import LoopClock
@@ -30,6 +29,7 @@
     ServiceShare,
 )
 from verbenawind.kernel.messages import Location
+from verbenawind.kernel.probe_ports import ProbeResult
 from verbenawind.kernel.row_ports import RowId
 from verbenawind.node import NamedVersion, Node, NodeSettings
 from verbenawind.standins.deployment import run_virtual
@@ -113,7 +113,7 @@
         instance = Instance(
             instance_id=name,
             service=service,
-            address="10.0.0.1:80",
+            address=f"{name}:80",
             location=Location(zone=zone, region=zone),
             slots=slots,
             draining=False,
@@ -231,8 +231,10 @@
         self.kill(name)
 
     async def connect(self, address: str) -> ProbeResult:
-        """Return how a host responds to a connection; implements the PeerProbe port."""
+        """Return how a host responds to a connection; implements the AddressProbe port."""
         name = address.partition(":")[0]
+        if name in self.engines.engines:
+            return await self._connect_to_engine(self.engines.engines[name])
         self.probed_hosts.append(name)
         if name in self.powered_off:
             await asyncio.sleep(0.3)
@@ -240,6 +242,32 @@
         await asyncio.sleep(0.002)
         return ProbeResult.ACCEPTED if name in self.members else ProbeResult.REFUSED
 
+    async def _connect_to_engine(self, engine: OpaqueEngine) -> ProbeResult:
+        if engine.unresponsive:
+            await asyncio.sleep(0.3)
+            return ProbeResult.NONE
+        await asyncio.sleep(0.002)
+        return ProbeResult.REFUSED if engine.down else ProbeResult.ACCEPTED
+
+    def poison(self, body: bytes, *, back_after_s: float = 2.0) -> None:
+        """Let requests with this body end the engines that begin to run them.
+
+        An engine is back after *back_after_s* seconds, as a new process under its old id.
+        """
+        for engine in self.engines.engines.values():
+            engine.crash_bodies.add(body)
+            self.restart_after_crashes(engine, back_after_s)
+
+    def restart_after_crashes(self, engine: OpaqueEngine, back_after_s: float) -> None:
+        """Start an engine again some time after each crash."""
+
+        def restart() -> None:
+            started_ms = engine.instance.started_ms + 1
+            engine.restart(msgspec.structs.replace(engine.instance, started_ms=started_ms))
+            self.register(engine.instance)
+
+        engine.on_crash = lambda: asyncio.get_running_loop().call_later(back_after_s, restart)
+
     async def start(self, *, hosts: int = 2, engines: int = 2, **changes: Any) -> None:
         """Start engines and hosts, and wait until the hosts are ready."""
         self.configure(**changes)
--- a/tests/test_tcp_probe.py
+++ b/tests/test_tcp_probe.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from verbenawind.batches import ProbeResult
+from verbenawind.kernel.probe_ports import ProbeResult
 from verbenawind.plugins.tcp_probe import TcpProbe
 
 
