--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -35,6 +35,7 @@
     signature; requests with a body in ``crash_bodies`` end the process as they begin to run.
 
     Attributes:
+        crash_starts: The entries of ``started`` whose requests ended the process.
         crashes: Number of times that the process has ended.
         on_crash: Called after each of these ends.
         started: Time, request id and resumption of each run, in order.
@@ -63,6 +64,7 @@
         self.unsigned = False
         self.crash_bodies: set[bytes] = set()
         self.crashes = 0
+        self.crash_starts: list[tuple[float, str, int | None]] = []
         self.on_crash: Callable[[], None] | None = None
         self.break_after: int | None = None
         self.loading = False
@@ -213,6 +215,7 @@
         now_s = asyncio.get_running_loop().time()
         engine.started.append((now_s, request_id, attempt.resume_after))
         if attempt.request.body in engine.crash_bodies:
+            engine.crash_starts.append(engine.started[-1])
             engine.crash()
             raise BackendServerFailed("connection lost")
         return _Answer(engine, attempt, _OK)
