--- a/src/verbenawind/batches/scoring.py
+++ b/src/verbenawind/batches/scoring.py
@@ -213,6 +213,7 @@
             body=call.body,
             arrived_s=started_s,
             deadline_s=started_s + min(left_s, route.timeout_s or _DEFAULT_CALL_S),
+            owed=True,
         )
         try:
             outcome = await self._send(request, route, service, max_failures)
--- a/src/verbenawind/cli/logs.py
+++ b/src/verbenawind/cli/logs.py
@@ -15,7 +15,7 @@
 __all__: list[str] = []
 
 # Fields that hold the ID of a request, job or server.
-_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group", "call_id")
+_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group", "call_id", "fingerprint")
 _LEADING_FIELDS = ("timestamp", "event", "host", "level", "logger")
 
 
@@ -23,14 +23,17 @@
 def trace(invocation: Invocation) -> Result:
     """Merge the log lines of a request, job or server from several hosts, sorted by time.
 
-    With the ID of a batch item, the lines of its job and of its scoring call are included.
+    With the ID of a batch item, the lines of its job and of its scoring call are included. With the
+    ID of a request, what its repeats met is included: ends of servers, refusals and trials.
     Timestamps are from the hosts' own clocks, which may differ.
     """
     identifier, *paths = invocation.arguments
     lines = [line for path in paths for line in _read_lines(path)]
     own_lines = [line for line in lines if line.get("request_id") == identifier]
     job_ids = {str(line["job_id"]) for line in own_lines if "job_id" in line} - {identifier}
-    ids = {identifier} | {str(line["call_id"]) for line in own_lines if "call_id" in line}
+    ids = {identifier} | {
+        str(line[name]) for line in own_lines for name in ("call_id", "fingerprint") if name in line
+    }
     matching = [line for line in lines if _matches(line, ids, job_ids)]
     if not matching:
         raise CommandFailed(
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -232,7 +232,7 @@
 
 
 class RequestConvicted(VerbenawindError):
-    """Raised when a request is temporarily refused because it has crashed two backend servers."""
+    """Raised when a request is refused for a time because backend servers crashed under it."""
 
     code = "request_convicted"
 
--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,6 +1,8 @@
 """Routes requests by host and path to registered backend servers, without reading the bodies."""
 
 from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
+from verbenawind.gateway.crash_history import CrashHistory
+from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
@@ -19,12 +21,15 @@
 )
 
 __all__ = [
+    "CRASH_KEY_PREFIX",
     "Attempt",
     "Backend",
     "BackendPort",
     "BackendResponse",
     "CallerRequest",
     "CrashGuard",
+    "CrashHistory",
+    "CrashRecords",
     "Directory",
     "EndEvidence",
     "EngineTraits",
--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -1,9 +1,20 @@
-"""Tracks which callers' requests were on a server when its process ended."""
+"""Refuses requests under which servers end again and again.
 
-from collections.abc import Callable
+Each host reports which callers' requests its servers left unanswered when their processes ended.
+Once that has happened to a request at several servers, at whichever hosts, every host refuses it
+for a time. A request that any server has answered lately is never suspected, so a popular request
+that happens to run on failing servers is not refused.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Collection
 
 import structlog
 
+from verbenawind.clock import Clock
+from verbenawind.errors import Outcome, RequestConvicted
+from verbenawind.gateway.crash_history import CONVICTION_ENDS, CrashHistory, CrashReport, Standing
+from verbenawind.gateway.crash_records import CrashRecords
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.fingerprints import request_fingerprint
 from verbenawind.gateway.ports import CallerRequest
@@ -11,50 +22,174 @@
 
 __all__ = ["CrashGuard", "GuardedRequest"]
 
+_CHECK_PERIOD_S = 1.0
+_SWEEP_PERIOD_S = 5.0
+# A request that was answered within this time isn't suspected.
+_ANSWER_MEMORY_S = 60.0
+_MAX_REMEMBERED = 1024
+# Shortest time to return for a caller that met the trial of another one.
+_MIN_RETRY_S = 0.25
+
 
 class CrashGuard:
     """Follows callers' requests and the ends of the servers that run them.
 
     Args:
         monitor: Decides whether a server's process has ended.
+        history: What all hosts have reported.
+        records: Shares this host's reports.
+        is_assigned: Returns whether this host deletes an expired row.
+        clock: Time source.
         store_ms: Returns the store's time.
     """
 
-    __slots__ = ("_log", "_monitor", "_store_ms")
+    __slots__ = (
+        "_answered_at_s",
+        "_clock",
+        "_is_assigned",
+        "_log",
+        "_store_ms",
+        "history",
+        "monitor",
+        "records",
+        "refusals",
+        "trials",
+    )
 
-    def __init__(self, monitor: ServerEndMonitor, store_ms: Callable[[], int]) -> None:
-        self._monitor = monitor
+    def __init__(
+        self,
+        monitor: ServerEndMonitor,
+        history: CrashHistory,
+        records: CrashRecords,
+        *,
+        is_assigned: Callable[[str], bool],
+        clock: Clock,
+        store_ms: Callable[[], int],
+    ) -> None:
+        self.monitor = monitor
+        self.history = history
+        self.records = records
+        self._is_assigned = is_assigned
+        self._clock = clock
         self._store_ms = store_ms
+        self._answered_at_s: OrderedDict[str, float] = OrderedDict()
         self._log = structlog.get_logger("crash_guard")
+        self.refusals = 0
+        self.trials = 0
         monitor.on_end(self._server_ended)
+        monitor.on_revoked(records.revoke)
+        records.on_report(self._reported)
+
+    @property
+    def convicted(self) -> Collection[str]:
+        """The fingerprints of the requests that run only as claimed trials."""
+        now_ms = self._store_ms()
+        return [
+            fingerprint
+            for fingerprint in self.history.fingerprints()
+            if self.history.standing(fingerprint, now_ms).convicted
+        ]
 
     def open(self, request: CallerRequest) -> "GuardedRequest":
-        """Return the request as it is tracked across its sends."""
-        return GuardedRequest(request, self._monitor, self._store_ms)
+        """Return the request as it is guarded across its sends."""
+        return GuardedRequest(request, self)
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what is known of a request; nothing is held against one answered lately."""
+        if self._answered_lately(fingerprint):
+            return Standing()
+        return self.history.standing(fingerprint, self._store_ms())
+
+    def answered(self, fingerprint: str) -> None:
+        """Record that a server answered a request, which clears it of earlier ends.
+
+        A bystander of a crash that is answered elsewhere is taken out of this host's report; the
+        reports of other hosts are overruled.
+        """
+        self._answered_at_s[fingerprint] = self._clock.monotonic_s()
+        self._answered_at_s.move_to_end(fingerprint)
+        if len(self._answered_at_s) > _MAX_REMEMBERED:
+            self._answered_at_s.popitem(last=False)
+        if not self.history.empty:
+            self.records.withdraw(fingerprint)
+            self._clear(fingerprint, least_ends=1)
+
+    def now_ms(self) -> int:
+        """Return the store's time, which hosts can compare."""
+        return self._store_ms()
+
+    async def run(self) -> None:
+        """Check watched servers and delete expired rows until cancelled."""
+        next_sweep_s = 0.0
+        while True:
+            await self._clock.sleep(_CHECK_PERIOD_S)
+            self.monitor.check()
+            self.records.wake()
+            now_s = self._clock.monotonic_s()
+            if now_s >= next_sweep_s:
+                next_sweep_s = now_s + _SWEEP_PERIOD_S
+                self.records.sweep(self._is_assigned)
 
     def _server_ended(self, end: ServerEnd) -> None:
-        for send in end.sends:
-            self._log.info("request_suspected", fingerprint=send.fingerprint, crash=end.incarnation)
+        sends = [send for send in end.sends if not self._answered_lately(send.fingerprint)]
+        self.records.report(end.incarnation, end.service, sends)
+
+    def _reported(self, report: CrashReport, added: Collection[str], own: bool) -> None:
+        """Log what a report changes, and clear requests that this host knows to be sound."""
+        now_ms = self._store_ms()
+        for fingerprint in added:
+            if self._answered_lately(fingerprint):
+                self._clear(fingerprint, least_ends=2)
+                continue
+            standing = self.history.standing(fingerprint, now_ms)
+            if own or standing.ends > 1:
+                self._log.warning(
+                    "request_suspected",
+                    fingerprint=fingerprint,
+                    crash=report.incarnation,
+                    ends=standing.ends,
+                    age_s=round(max(0, now_ms - report.ended_ms) / 1000, 3),
+                )
+            if standing.convicted:
+                term_ms = standing.refused_until_ms - now_ms
+                self._log.warning(
+                    "request_convicted",
+                    fingerprint=fingerprint,
+                    crashes=standing.ends,
+                    term_s=round(max(0, term_ms) / 1000, 3),
+                )
+
+    def _clear(self, fingerprint: str, *, least_ends: int) -> None:
+        standing = self.history.standing(fingerprint, self._store_ms())
+        if standing.ends >= least_ends:
+            self._log.info("suspect_cleared", fingerprint=fingerprint)
+            self.records.clear(fingerprint)
+
+    def _answered_lately(self, fingerprint: str) -> bool:
+        answered_at_s = self._answered_at_s.get(fingerprint)
+        if answered_at_s is None:
+            return False
+        return self._clock.monotonic_s() - answered_at_s <= _ANSWER_MEMORY_S
 
 
 class GuardedRequest:
     """A caller's request across its sends.
 
+    Work that this service has accepted for later is owed, and so neither refused nor suspected.
+
     Args:
         request: The request.
-        monitor: Decides whether a server's process has ended.
-        store_ms: Returns the store's time.
+        guard: Knows the ends of servers under such requests.
     """
 
-    __slots__ = ("_fingerprint", "_monitor", "_request", "_store_ms")
+    __slots__ = ("_fingerprint", "_guard", "_log", "_request", "is_trial")
 
-    def __init__(
-        self, request: CallerRequest, monitor: ServerEndMonitor, store_ms: Callable[[], int]
-    ) -> None:
+    def __init__(self, request: CallerRequest, guard: CrashGuard) -> None:
         self._request = request
-        self._monitor = monitor
-        self._store_ms = store_ms
+        self._guard = guard
         self._fingerprint = ""
+        self._log = structlog.get_logger("crash_guard")
+        self.is_trial = False
 
     @property
     def fingerprint(self) -> str:
@@ -62,17 +197,104 @@
         self._fingerprint = self._fingerprint or request_fingerprint(self._request)
         return self._fingerprint
 
+    @property
+    def suspected(self) -> bool:
+        """Whether a server ended or may have ended under the request and none has answered it."""
+        if self._is_unsuspicious:
+            return False
+        return self._guard.standing(self.fingerprint).ends > 0 or self._pending > 0
+
+    async def admit(self) -> None:
+        """Check that the request may be sent; a convicted one needs the claim of a trial.
+
+        Raises:
+            RequestConvicted: The request is refused for now; nothing was sent.
+        """
+        if self._is_unsuspicious:
+            return
+        standing = self._guard.standing(self.fingerprint)
+        if not standing.convicted:
+            return
+        term_is_over = standing.refused_until_ms <= self._guard.now_ms()
+        if not term_is_over or not await self._guard.records.claim(self.fingerprint):
+            raise self._refusal(Outcome.NOT_RUN)
+        self.is_trial = True
+        self._guard.trials += 1
+        self._log.info(
+            "request_tried",
+            request_id=self._request.request_id,
+            fingerprint=self.fingerprint,
+            ends=standing.ends,
+            trials=standing.trials + 1,
+        )
+
+    async def admit_again(self, outcome: Outcome) -> None:
+        """Check that the request may be sent again after a send that failed.
+
+        Waits for the probe of a server that may have ended if that decides it.
+
+        Raises:
+            RequestConvicted: The request is refused for now.
+        """
+        if self._is_unsuspicious or self.is_trial:
+            return
+        if self._guard.standing(self.fingerprint).ends + self._pending >= CONVICTION_ENDS:
+            await self._guard.monitor.probed(self.fingerprint)
+        if self._guard.standing(self.fingerprint).convicted:
+            raise self._refusal(outcome)
+
+    def answered(self) -> None:
+        """Record that a server answered the request."""
+        if not self._request.owed:
+            self._guard.answered(self.fingerprint)
+
     def broke(self, backend: Backend, sent_ms: int) -> None:
         """Record that a send broke after the server may have run the request."""
-        self._monitor.send_broke(backend, self._send(sent_ms))
+        if not self._request.owed:
+            self._guard.monitor.send_broke(backend, self._send(sent_ms))
 
     def unanswered(self, backend: Backend, sent_ms: int) -> None:
         """Record that a send was given up without an answer."""
-        self._monitor.send_unanswered(backend, self._send(sent_ms))
+        if not self._request.owed:
+            self._guard.monitor.send_unanswered(backend, self._send(sent_ms))
+
+    def finished(self, outcome: Outcome) -> None:
+        """Give back the claim of a trial in which no server ran the request."""
+        if self.is_trial and outcome is Outcome.NOT_RUN:
+            self._guard.records.release(self.fingerprint)
 
     def now_ms(self) -> int:
         """Return the store's time, which hosts can compare."""
-        return self._store_ms()
+        return self._guard.now_ms()
+
+    @property
+    def _is_unsuspicious(self) -> bool:
+        """Whether the request needs no look at the history, and so no fingerprint."""
+        if self._request.owed:
+            return True
+        return self._guard.history.empty and not self._guard.monitor.watching
+
+    @property
+    def _pending(self) -> int:
+        return self._guard.monitor.pending(self.fingerprint)
 
     def _send(self, sent_ms: int) -> UnansweredSend:
         return UnansweredSend(fingerprint=self.fingerprint, sent_ms=sent_ms)
+
+    def _refusal(self, outcome: Outcome) -> RequestConvicted:
+        standing = self._guard.standing(self.fingerprint)
+        remaining_s = (standing.refused_until_ms - self._guard.now_ms()) / 1000
+        self._guard.refusals += 1
+        self._log.info(
+            "request_refused_as_convicted",
+            request_id=self._request.request_id,
+            fingerprint=self.fingerprint,
+            crashes=standing.ends,
+            trials=standing.trials,
+        )
+        return RequestConvicted(
+            f"request {self._request.request_id} is refused: the processes of {standing.ends} "
+            "servers ended under such requests",
+            outcome=outcome,
+            retry_after_s=round(max(_MIN_RETRY_S, remaining_s), 2),
+        )
--- /dev/null
+++ b/src/verbenawind/gateway/crash_history.py
@@ -0,0 +1,283 @@
+"""Decides from the ends of servers which requests are refused, and until when.
+
+Pure: hosts feed it the same rows and so come to the same decision. A request is convicted once
+processes of several servers have ended under it with no answer in between. While other processes
+of the service end as well, more ends are needed. It is refused for terms that grow; after each term
+one host may claim one trial. An answer of any server clears it.
+"""
+
+from collections import defaultdict
+from collections.abc import Collection, Mapping
+from typing import TypeVar
+
+from verbenawind.gateway.server_ends import UnansweredSend
+from verbenawind.kernel.messages import Value
+
+__all__ = ["CONVICTION_ENDS", "Clearance", "CrashHistory", "CrashReport", "Standing", "TrialClaim"]
+
+T = TypeVar("T")
+
+# Number of ended processes after which a request is convicted.
+CONVICTION_ENDS = 3
+# Servers end by themselves if at least so many processes of the service, without the request, ended
+# at about the same time. A conviction then needs further ends.
+_OTHER_ENDS = 2
+_FURTHER_ENDS = 2
+_NEARBY_MS = 1_000
+# How long a convicted request is refused before its first, second, ... trial. The first term is
+# short, because ends by chance can convict an innocent request.
+_TERMS_MS = (1_000, 30_000, 600_000, 21_600_000)
+# Reports older than this count no more, unless the request is still refused.
+_REPORT_LIFETIME_MS = 3_600_000
+# How long reports are kept that name no request any more; they show that servers end by themselves.
+_EMPTY_LIFETIME_MS = 60_000
+
+
+class CrashReport(Value, frozen=True, kw_only=True):
+    """What one host left unanswered on a server's process that ended; times are the store's.
+
+    Requests that another server answered are taken out again, so ``sends`` may be empty.
+    """
+
+    incarnation: str
+    service: str
+    ended_ms: int
+    sends: tuple[UnansweredSend, ...]
+
+
+class Clearance(Value, frozen=True, kw_only=True):
+    """A server answered a suspected request, so that earlier ends are not held against it."""
+
+    cleared_ms: int
+
+
+class TrialClaim(Value, frozen=True, kw_only=True):
+    """The latest trial of a convicted request.
+
+    The claim is recorded before the request is sent and already states the term that follows a
+    failure, so that a host that is lost in the trial leaves the request refused. ``claim_id``
+    tells claims of the same moment apart.
+    """
+
+    claim_id: str
+    trials: int
+    claimed_ms: int
+    refused_until_ms: int
+
+
+class Standing(Value, frozen=True, kw_only=True):
+    """What is known of a request.
+
+    Attributes:
+        ends: Number of servers' processes that ended under it since it was last cleared.
+        refused_until_ms: The end of the current term; 0 if the request is not convicted.
+        trials: Number of trials so far.
+        conviction_ends: Number of ends that convict it.
+    """
+
+    ends: int = 0
+    conviction_ends: int = CONVICTION_ENDS
+    refused_until_ms: int = 0
+    trials: int = 0
+
+    @property
+    def convicted(self) -> bool:
+        """Whether the request runs only as a claimed trial."""
+        return self.ends >= self.conviction_ends
+
+
+class CrashHistory:
+    """Reports, clearances and trial claims of all hosts, by request fingerprint."""
+
+    __slots__ = ("_claims", "_clearances", "_reports", "_reports_of")
+
+    def __init__(self) -> None:
+        self._reports: dict[str, CrashReport] = {}
+        self._reports_of: defaultdict[str, set[str]] = defaultdict(set)
+        self._clearances: dict[str, Clearance] = {}
+        self._claims: dict[str, TrialClaim] = {}
+
+    def __len__(self) -> int:
+        return len(self._reports)
+
+    @property
+    def empty(self) -> bool:
+        """Whether no request has any report against it."""
+        return not self._reports
+
+    def put_report(self, key: str, report: CrashReport | None) -> Collection[str]:
+        """Add, replace or remove a report, and return the fingerprints that it now adds."""
+        old = self._reports.pop(key, None)
+        before = {send.fingerprint for send in old.sends} if old is not None else set()
+        for fingerprint in before:
+            self._reports_of[fingerprint].discard(key)
+            if not self._reports_of[fingerprint]:
+                del self._reports_of[fingerprint]
+        if report is None:
+            return ()
+        self._reports[key] = report
+        after = {send.fingerprint for send in report.sends}
+        for fingerprint in after:
+            self._reports_of[fingerprint].add(key)
+        return after - before
+
+    def put_clearance(self, fingerprint: str, clearance: Clearance | None) -> None:
+        """Set or remove the clearance of a request."""
+        _put(self._clearances, fingerprint, clearance)
+
+    def put_claim(self, fingerprint: str, claim: TrialClaim | None) -> None:
+        """Set or remove the latest trial claim of a request."""
+        _put(self._claims, fingerprint, claim)
+
+    def claim(self, fingerprint: str) -> TrialClaim | None:
+        """Return the latest trial claim of a request."""
+        return self._claims.get(fingerprint)
+
+    def report(self, key: str) -> CrashReport | None:
+        """Return a report by its key."""
+        return self._reports.get(key)
+
+    def reports_on(self, fingerprint: str) -> Mapping[str, CrashReport]:
+        """Return the reports that name a request, by key."""
+        return {key: self._reports[key] for key in self._reports_of.get(fingerprint, ())}
+
+    def reports_of_incarnation(self, incarnation: str) -> Collection[str]:
+        """Return the keys of the reports on a server's process."""
+        return [key for key, report in self._reports.items() if report.incarnation == incarnation]
+
+    def fingerprints(self) -> Collection[str]:
+        """Return the requests with reports against them."""
+        return list(self._reports_of)
+
+    def standing(self, fingerprint: str, now_ms: int) -> Standing:
+        """Return what is known of a request.
+
+        Processes that ended together count together, whatever ended them: a request is refused at
+        once only if a process ended that was sent it after an earlier one had ended.
+        """
+        ends = self._ends(fingerprint, now_ms)
+        claim = self._valid_claim(fingerprint)
+        trials = claim.trials if claim is not None else 0
+        if len(ends) < CONVICTION_ENDS:
+            return Standing(ends=len(ends), trials=trials)
+        conviction_ends = CONVICTION_ENDS
+        if self._other_ends(ends) >= _OTHER_ENDS and not trials:
+            conviction_ends += _FURTHER_ENDS
+        refused_until_ms = _end_of_term_ms(ends)
+        if claim is not None:
+            refused_until_ms = max(refused_until_ms, claim.refused_until_ms)
+        return Standing(
+            ends=len(ends),
+            conviction_ends=conviction_ends,
+            refused_until_ms=refused_until_ms,
+            trials=trials,
+        )
+
+    def next_claim(self, fingerprint: str, claim_id: str, now_ms: int) -> TrialClaim:
+        """Return the claim of a trial that starts now."""
+        claim = self._valid_claim(fingerprint)
+        trials = (claim.trials if claim is not None else 0) + 1
+        term_ms = _term_ms(trials)
+        return TrialClaim(
+            claim_id=claim_id,
+            trials=trials,
+            claimed_ms=now_ms,
+            refused_until_ms=now_ms + term_ms,
+        )
+
+    def expired_reports(self, now_ms: int) -> Collection[str]:
+        """Return the keys of the reports that no longer matter."""
+        return [key for key, report in self._reports.items() if not self._is_kept(report, now_ms)]
+
+    def expired_requests(self, now_ms: int) -> Collection[str]:
+        """Return the requests whose clearances and claims no longer matter."""
+        times_ms = {name: claim.refused_until_ms for name, claim in self._claims.items()}
+        for name, clearance in self._clearances.items():
+            times_ms[name] = max(times_ms.get(name, 0), clearance.cleared_ms)
+        return [
+            name
+            for name, at_ms in times_ms.items()
+            if now_ms - at_ms > _REPORT_LIFETIME_MS and name not in self._reports_of
+        ]
+
+    def _is_kept(self, report: CrashReport, now_ms: int) -> bool:
+        lifetime_ms = _REPORT_LIFETIME_MS if report.sends else _EMPTY_LIFETIME_MS
+        if now_ms - report.ended_ms <= lifetime_ms:
+            return True
+        return any(
+            claim.refused_until_ms + _REPORT_LIFETIME_MS > now_ms
+            for send in report.sends
+            if (claim := self._valid_claim(send.fingerprint)) is not None
+        )
+
+    def _ends(self, fingerprint: str, now_ms: int) -> Mapping[str, "_End"]:
+        """Return the ends that count against a request, by incarnation."""
+        clearance = self._clearances.get(fingerprint)
+        ends: dict[str, _End] = {}
+        for key in self._reports_of.get(fingerprint, ()):
+            report = self._reports[key]
+            if clearance is not None and report.ended_ms <= clearance.cleared_ms:
+                continue
+            if not self._is_kept(report, now_ms):
+                continue
+            sent_ms = max(s.sent_ms for s in report.sends if s.fingerprint == fingerprint)
+            known = ends.get(report.incarnation)
+            ends[report.incarnation] = _End(
+                service=report.service,
+                sent_ms=max(sent_ms, known.sent_ms) if known else sent_ms,
+                ended_ms=min(report.ended_ms, known.ended_ms) if known else report.ended_ms,
+            )
+        return ends
+
+    def _other_ends(self, ends: Mapping[str, "_End"]) -> int:
+        """Return how many other processes of the service ended at about the time of *ends*."""
+        first_ms = min(end.ended_ms for end in ends.values()) - _NEARBY_MS
+        last_ms = max(end.ended_ms for end in ends.values()) + _NEARBY_MS
+        services = {end.service for end in ends.values()}
+        others = {
+            report.incarnation
+            for report in self._reports.values()
+            if report.service in services and first_ms <= report.ended_ms <= last_ms
+        }
+        return len(others - ends.keys())
+
+    def _valid_claim(self, fingerprint: str) -> TrialClaim | None:
+        """Return the latest claim since the request was last cleared."""
+        claim, clearance = self._claims.get(fingerprint), self._clearances.get(fingerprint)
+        if claim is None or (clearance is not None and clearance.cleared_ms >= claim.claimed_ms):
+            return None
+        return claim
+
+
+class _End(Value, frozen=True, kw_only=True):
+    """The end of one incarnation and the latest send of a request to it, in store time."""
+
+    service: str
+    sent_ms: int
+    ended_ms: int
+
+
+def _end_of_term_ms(ends: Mapping[str, _End]) -> int:
+    """Return when a convicted request may next be tried, apart from any claim.
+
+    Each send after the conviction lengthens the term, as a trial does: hosts that did not know of
+    the conviction made it.
+    """
+    ended_ms = sorted(end.ended_ms for end in ends.values())
+    latest_sent_ms = max(end.sent_ms for end in ends.values())
+    convicted_ms = ended_ms[CONVICTION_ENDS - 1]
+    if latest_sent_ms <= ended_ms[0]:
+        return convicted_ms
+    late_sends = sum(end.sent_ms > convicted_ms for end in ends.values())
+    return ended_ms[-1] + _term_ms(late_sends)
+
+
+def _term_ms(trials: int) -> int:
+    return _TERMS_MS[min(trials, len(_TERMS_MS) - 1)]
+
+
+def _put(values: dict[str, T], key: str, value: T | None) -> None:
+    if value is None:
+        values.pop(key, None)
+    else:
+        values[key] = value
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -99,7 +99,8 @@
         self.history = SendHistory(
             request.request_id,
             service,
-            max_runs=route.max_attempts,
+            # A trial ends at most one server.
+            max_runs=1 if guarded.is_trial else route.max_attempts,
             max_sends=route.max_attempts * _SENDS_PER_ATTEMPT,
             repeatable=route.kind is RouteKind.IDEMPOTENT,
         )
@@ -146,9 +147,12 @@
         """Return the first complete response of a server.
 
         Raises:
+            RequestConvicted: Servers ended under such requests, which are refused for a time.
             VerbenawindError: No server responded; the outcome tells whether one may have run it.
         """
-        exchange = _Exchange(request, route, service, self._guard.open(request))
+        guarded = self._guard.open(request)
+        await guarded.admit()
+        exchange = _Exchange(request, route, service, guarded)
         self._hedge_tokens = min(
             _MAX_HEDGE_TOKENS, self._hedge_tokens + 1.0 / _REQUESTS_PER_HEDGE_TOKEN
         )
@@ -156,8 +160,11 @@
         hedge_check_at_s = self._clock.monotonic_s() + _HEDGE_FRACTION * route.target_latency_s
         try:
             while True:
-                if not sends and (task := self._start_send(exchange)) is not None:
-                    sends.add(task)
+                if not sends:
+                    if exchange.history.sends:
+                        await guarded.admit_again(exchange.history.outcome)
+                    if (task := self._start_send(exchange)) is not None:
+                        sends.add(task)
                 if not sends:
                     return self._finish_unanswered(exchange)
                 reply = await self._wait_for_send(exchange, sends, hedge_check_at_s)
@@ -174,6 +181,7 @@
         finally:
             for task in sends:
                 task.cancel()
+            guarded.finished(exchange.history.outcome)
 
     async def _wait_for_send(
         self, exchange: _Exchange, sends: set[asyncio.Task[Reply]], hedge_check_at_s: float
@@ -218,7 +226,7 @@
         server whose expected time is much shorter than the time waited. If all servers are slow,
         none qualifies, and hedging adds no load.
         """
-        if not exchange.repeatable:
+        if not exchange.repeatable or exchange.guarded.suspected:
             return None
         if exchange.hedge_checks == 1 and self._hedge_tokens >= 1.0:
             self._hedge_tokens -= 1.0
@@ -291,6 +299,7 @@
             else:
                 exchange.guarded.unanswered(backend, sent_ms)
             raise
+        exchange.guarded.answered()
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
 
--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -15,7 +15,9 @@
 class CallerRequest(Value, frozen=True, kw_only=True):
     """A caller's request as received, without the connection-specific headers.
 
-    ``deadline_s`` is the monotonic time at which the caller stops waiting.
+    ``deadline_s`` is the monotonic time at which the caller stops waiting. An ``owed`` request
+    belongs to work that was accepted earlier, and so may not be refused for the servers that ended
+    under it.
     """
 
     request_id: str
@@ -27,6 +29,7 @@
     arrived_s: float
     deadline_s: float
     resume_after: int | None = None
+    owed: bool = False
 
 
 class Attempt(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -58,6 +58,7 @@
 
     incarnation: str
     server: str
+    service: str
     sends: tuple[UnansweredSend, ...]
 
 
@@ -154,11 +155,21 @@
         if not backend.leaving:
             self._watch(backend, send)
 
-    async def probed(self, backend: Backend) -> None:
-        """Wait for the probe of a server, if one is under way."""
-        watch = self._watches.get(incarnation_of(backend))
-        if watch is not None and watch.probe is not None:
-            await asyncio.wait({watch.probe})
+    @property
+    def watching(self) -> bool:
+        """Whether any server is watched."""
+        return bool(self._watches)
+
+    async def probed(self, fingerprint: str) -> None:
+        """Wait for the probes under way of the servers that left a request unanswered."""
+        probes = {
+            watch.probe
+            for watch in self._watches.values()
+            if watch.probe is not None
+            and any(send.fingerprint == fingerprint for send in watch.sends)
+        }
+        if probes:
+            await asyncio.wait(probes)
 
     def check(self) -> None:
         """Apply what registry and answers show about the watched incarnations."""
@@ -259,6 +270,7 @@
         end = ServerEnd(
             incarnation=incarnation_of(watch.backend),
             server=watch.backend.instance.instance_id,
+            service=watch.backend.instance.service,
             sends=tuple(watch.sends),
         )
         for listener in self._on_end:
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -61,20 +61,24 @@
         """Yield the first server's response head, then the bytes of each complete event.
 
         Raises:
+            RequestConvicted: Servers ended under such requests, which are refused for a time.
             VerbenawindError: The stream did not start, or broke and cannot be resumed.
         """
         tried: set[str] = set()
         guarded = self._guard.open(request)
+        await guarded.admit()
         first_response: BackendResponse | None = None
         last_id = request.resume_after
         history = SendHistory(
             request.request_id,
             service,
-            max_runs=route.max_attempts,
+            max_runs=1 if guarded.is_trial else route.max_attempts,
             max_sends=None,
             repeatable=route.resumable,
         )
         while history.may_send:
+            if history.sends:
+                await guarded.admit_again(history.outcome)
             chosen = choose(self._directory.backends(service), self._location, tried)
             if chosen is None:
                 break
@@ -104,6 +108,7 @@
                     if response.status != _OK:
                         while data := await response.chunk():
                             yield data
+                        guarded.answered()
                         return
                 async for event_id, raw in self._events(response, route):
                     if last_id is not None and event_id != last_id + 1:
@@ -112,6 +117,7 @@
                         )
                     last_id = event_id
                     yield raw
+                guarded.answered()
                 backend.succeeded(0.0)
                 return
             except (AdmissionRefused, BackendServerUnreachable):
@@ -137,6 +143,7 @@
                 backend.end()
                 if response is not None:
                     response.close()
+        guarded.finished(history.outcome)
         deadline_passed = self._clock.monotonic_s() >= request.deadline_s
         raise history.final_error(deadline_passed=deadline_passed)
 
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -78,6 +78,9 @@
     ended: Annotated[
         bool, Meta(description="Whether the server's process has ended without notice.")
     ] = False
+    ends: Annotated[
+        int, Meta(description="Servers that ended under the request since it was last cleared.")
+    ] = 0
     environment: Annotated[str, Meta(description="Name and stage of the environment.")] = ""
     epoch: Annotated[
         int, Meta(description="Epoch of the owner or holder; increases with each change.")
@@ -228,6 +231,7 @@
     took_s: Annotated[_Seconds, Meta(description="Duration, from the monotonic clock.")] = 0.0
     total: Annotated[int, Meta(description="Number of items of the job.")] = 0
     trainer: Annotated[str, Meta(description="Trainer name.")] = ""
+    trials: Annotated[int, Meta(description="Number of trials of the request so far.")] = 0
     unfinished: Annotated[int, Meta(description="Number of items without a result.")] = 0
     unit: Annotated[Any, Meta(description="Unit of work.")] = None
     units: Annotated[Any, Meta(description="Units of work.")] = None
@@ -296,7 +300,32 @@
     "server_end_not_watched": _event(
         "Too many servers are watched after unanswered requests.", "server"
     ),
-    "request_suspected": _event("A server ended while running a request.", "fingerprint crash"),
+    "request_suspected": _event(
+        "A server ended while running a request.", "fingerprint crash ends age_s"
+    ),
+    "request_convicted": _event(
+        "Similar requests are temporarily refused.", "fingerprint crashes term_s"
+    ),
+    "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint"),
+    "request_refused_as_convicted": _event(
+        "A request was refused because servers ended under such requests.",
+        "request_id fingerprint crashes trials",
+    ),
+    "request_tried": _event(
+        "A convicted request is sent again, once for all hosts.",
+        "request_id fingerprint ends trials",
+    ),
+    "trial_not_claimed": _event(
+        "A convicted request is not sent: another host tries it, or the store is away.",
+        "fingerprint reason",
+    ),
+    "crash_not_reported": _event(
+        "The end of a server is not recorded: there are too many reports.", "crash requests"
+    ),
+    "crash_row_unreadable": _event("A row on servers' ends is malformed.", "key error"),
+    "crash_row_not_written": _event(
+        "A row on servers' ends could not be written; it is retried.", "key reason"
+    ),
     "server_entry_unusable": _event(
         "A backend server's registration is malformed or unusable.", "server version"
     ),
@@ -466,10 +495,6 @@
     "outcome_not_recorded": _event(
         "The outcome of a service request could not be recorded.", "key error"
     ),
-    "request_convicted": _event(
-        "Similar requests are temporarily refused.", "fingerprint crashes term_s"
-    ),
-    "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint"),
     "conviction_cleared": _event("A convicted request ran without a crash.", "fingerprint"),
     "trial_owner_unreachable": _event(
         "The daemon that tries a suspect does not respond.", "owner error"
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -27,8 +27,11 @@
 )
 from verbenawind.clock import Clock
 from verbenawind.gateway import (
+    CRASH_KEY_PREFIX,
     BackendPort,
     CrashGuard,
+    CrashHistory,
+    CrashRecords,
     Directory,
     Forwarder,
     GatewayConfiguration,
@@ -160,11 +163,6 @@
 
         self.directory = Directory(clock)
         self.servers_feed.on_response(self.directory.feed_recovered)
-        self.server_ends = ServerEndMonitor(
-            self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
-        )
-        self.guard = CrashGuard(self.server_ends, store_ms)
-        self.forwarder = Forwarder(self.directory, backends, settings.location, clock, self.guard)
         heartbeat = HostHeartbeat(
             host=settings.host,
             incarnation=new_id("run").removeprefix("run-"),
@@ -172,6 +170,27 @@
             location=settings.location,
             number=0,
         )
+        self.server_ends = ServerEndMonitor(
+            self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
+        )
+        crash_history = CrashHistory()
+        self.crash_records = CrashRecords(
+            crash_history,
+            store,
+            HOSTS_TABLE,
+            heartbeat.owner_id,
+            clock=clock,
+            store_ms=store_ms,
+        )
+        self.guard = CrashGuard(
+            self.server_ends,
+            crash_history,
+            self.crash_records,
+            is_assigned=self._is_sweeper_of,
+            clock=clock,
+            store_ms=store_ms,
+        )
+        self.forwarder = Forwarder(self.directory, backends, settings.location, clock, self.guard)
         self.job_registry = JobRegistry(clock)
         job_store = JobStore(store, settings.max_row_bytes)
         self.runner = BatchRunner(
@@ -269,6 +288,8 @@
             ("runner", self.runner.run),
             ("keeper", self.job_takeover.run),
             ("sweeper", self.sweeper.run),
+            ("crash_records", self.crash_records.run),
+            ("crash_guard", self.guard.run),
             ("lease", self.lease.run),
             ("desk", self.load_scheduler.run),
         ):
@@ -361,6 +382,8 @@
     def _apply_host_row(self, row: StoredRow) -> None:
         if row.row_id.key == _LEASE_KEY:
             self.lease.apply_row(row)
+        elif row.row_id.key.startswith(CRASH_KEY_PREFIX):
+            self.crash_records.apply_row(row)
         else:
             self.heartbeats.apply_row(row)
 
@@ -376,8 +399,8 @@
 
     # Callbacks of the components.
 
-    def _is_sweeper_of(self, job_id: str) -> bool:
-        return top_members(job_id, self.heartbeats.claimants([]), 1) == [self._settings.host]
+    def _is_sweeper_of(self, key: str) -> bool:
+        return top_members(key, self.heartbeats.claimants([]), 1) == [self._settings.host]
 
     def _lease_rank(self) -> int:
         ranking = top_members(_LEASE_KEY, self.heartbeats.claimants([]), _RANKED_HOSTS)
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -17,6 +17,7 @@
     HeadersTooLarge,
     InvalidRequest,
     Outcome,
+    RequestConvicted,
     StoreUnavailable,
     TooLarge,
     UnknownResource,
@@ -310,8 +311,10 @@
 
     async def _send_error(self, exchange: Exchange, error: VerbenawindError) -> None:
         status = _http_status(error)
-        # Every 503 has a Retry-After header, also if the error names no time.
-        retry_after_s = (error.retry_after_s or _DEFAULT_RETRY_S) if status == 503 else None
+        retry_after_s = error.retry_after_s if isinstance(error, RequestConvicted) else None
+        if status == 503:
+            # Every 503 has a Retry-After header, also if the error names no time.
+            retry_after_s = error.retry_after_s or _DEFAULT_RETRY_S
         self._log.info(
             "request_failed",
             request_id=exchange.header(ATTEMPT_HEADER),
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -221,6 +221,23 @@
                 count,
                 evidence=evidence.name.lower(),
             )
+        guard = self.node.guard
+        set_gauge(
+            "requests_suspected",
+            "Distinct requests under which servers ended, as reported by all hosts.",
+            len(guard.history.fingerprints()),
+        )
+        set_gauge(
+            "requests_convicted",
+            "Distinct requests that are refused because servers ended under them.",
+            len(guard.convicted),
+        )
+        set_gauge(
+            "convicted_refusals",
+            "Refusals of requests under which servers ended.",
+            guard.refusals,
+        )
+        set_gauge("convicted_trials", "Trials of convicted requests by this host.", guard.trials)
         for answer, count in self.node.load_scheduler.counts.answers.items():
             set_gauge("orders", "Load orders to engines, by answer.", count, answer=answer)
         for feed in ("operator", "servers", "hosts", "jobs"):
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -45,6 +45,24 @@
         code, out, _ = call("trace", "j", first, second, "--json")
         assert len(json.loads(out)) == 4
 
+    def test_repeats_of_a_request_are_shown(self, tmp_path: Path) -> None:
+        """From a refused request's ID, the ends of servers under its repeats are found."""
+        path = write(
+            tmp_path / "a",
+            {"event": "send_failed", "timestamp": "1", "request_id": "r1", "fingerprint": "f"},
+            {"event": "request_suspected", "timestamp": "2", "fingerprint": "f", "crash": "s.1"},
+            {"event": "request_suspected", "timestamp": "2", "fingerprint": "g", "crash": "s.1"},
+            {
+                "event": "request_refused_as_convicted",
+                "timestamp": "3",
+                "request_id": "r2",
+                "fingerprint": "f",
+            },
+        )
+        code, out, _ = call("trace", "r2", path)
+        assert code == ExitCode.DONE
+        assert [line.split()[0] for line in out.splitlines()] == ["1", "2", "3"]
+
     def test_both_stages_of_an_item_are_shown(self, tmp_path: Path) -> None:
         """With an item's ID, the sends of its scoring call are included; by the call's ID, too."""
         path = write(
--- a/tests/on_platform/test_caller_app.py
+++ b/tests/on_platform/test_caller_app.py
@@ -5,6 +5,48 @@
 
 from log_lines import capture_log_lines
 from on_platform.harness import HOST, PlatformHarness, run_with_harness, submission
+from on_platform.stubs import StubServer
+
+
+class TestCrashingRequests:
+    def test_request_under_which_servers_ended_is_refused(self) -> None:
+        """Real sockets: three servers close their ports under a request; another host refuses it.
+
+        The status promises that the request did not run, and the header tells when to return.
+        """
+
+        async def work(harness: PlatformHarness) -> None:
+            other = await harness.add_daemon("host-1")
+            extra = [StubServer(f"p{index}") for index in range(2, 5)]
+            for server in extra:
+                await server.start()
+                harness.register(server, "plain")
+            servers = [*harness.plain, *extra]
+            for server in servers:
+                server.crash_body = b"poison"
+            directory = other.node.directory
+            await harness.until(lambda: len(directory.backends("plain")) == 5)
+            await harness.until(
+                lambda: len(harness.daemons[0].node.directory.backends("plain")) == 5
+            )
+            statuses = [
+                (await harness.call("POST", "/once/x", b"poison", request_id=f"r{index}")).status
+                for index in range(3)
+            ]
+            assert statuses == [502, 502, 502]
+            await harness.until(lambda: other.node.guard.convicted)
+            response = await harness.call("POST", "/once/x", b"poison", request_id="r9", daemon=1)
+            assert response.status == 503
+            assert 0 < float(response.headers["retry-after"]) <= 1.0
+            assert "r9" not in {
+                headers["x-verbenawind-attempt-id"]
+                for server in servers
+                for _, _, headers, _ in server.seen
+            }
+            for server in extra:
+                await server.stop()
+
+        run_with_harness(work)
 
 
 class TestPlainRequests:
