Place the items behind one that avoids an engine

Cause: when an item found no engine, the other items of its model were skipped in that pass. An item that avoids an engine, or whose text fits few engines, finds none while others still would. Evidence: an item waits for the one other engine, which is full; the item behind it was not placed on the free engine. The test failed before. Change: only an item that may run anywhere tells that the model has no free slot.

--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -284,7 +284,8 @@
             record = job.stored.record
             if (record.model, record.min_version) in models_without_slots and not work.excluded:
                 continue
-            if not self._start(table, job, work, now_s):
+            takes_any_engine = not work.excluded and not work.partial.versions
+            if not self._start(table, job, work, now_s) and takes_any_engine:
                 models_without_slots.add((record.model, record.min_version))
 
     def _due_ms(self, job: OwnedJob, table: RouteTable) -> float:
--- a/tests/node/test_placement_after_crashes.py
+++ b/tests/node/test_placement_after_crashes.py
@@ -69,3 +69,25 @@
             assert len(first.started) == 1
 
         run_fleet(work)
+
+    def test_item_that_avoids_an_engine_holds_up_no_other(self) -> None:
+        """An item waits for the other engine, which is full; the item behind it is placed."""
+
+        async def work(fleet: Fleet) -> None:
+            fleet.configure()
+            full = fleet.add_engine("full", slots=1)
+            host = fleet.add_host("host-0")
+            await fleet.until(lambda: host.node.ready)
+            await fleet.submit(host, job("job-1", groups=1, size=1, events=300))
+            await fleet.until(lambda: full.running)
+            free = fleet.add_engine("free", slots=1)
+            free.break_after = 2
+            await fleet.until(lambda: host.node.directory.get("free"))
+            await fleet.submit(host, job("job-2", groups=1, size=2, events=10))
+            await fleet.until(lambda: free.started)
+            await fleet.until(lambda: not free.running)
+            free.break_after = None
+            assert await fleet.until(lambda: free.running, timeout_s=2.0) < 0.5
+            assert len({request_id for _, request_id, _ in free.started}) == 2
+
+        run_fleet(work)
