Stop sending to servers that say in an answer that they leave

Cause: the users' new rule (DRAIN, header Server-Leaving). Only the registry told that a server leaves, so a host that was cut off from the store went on sending to it. Ruled out: reading the header at each way out (forwarder, streams, items, scoring calls), five copies of one fact. Change: StayingBackends wraps the port of all sends; it reads the announcement of every answer, also of refusals and errors, and checks again just before a send. Answers to orders and reports announce as well. Directory remembers the incarnations that announced it: no registry entry, expired, older or returned, undoes it; a new process starts fresh. It counts for the server that answered, as its X-Verbenawind-Instance-Id names it. Work under way goes on; the answer is delivered as it came. Not changed: runs of items on a leaving engine go on until they end or break, and are then resumed elsewhere from their events; they are not moved before.

--- a/src/verbenawind/batches/engine_selection.py
+++ b/src/verbenawind/batches/engine_selection.py
@@ -166,7 +166,7 @@
 
     def _has_room(self, name: str, record: JobRecord) -> bool:
         engine = self._directory.get(name)
-        if engine is None or engine.suspected or engine.instance.draining:
+        if engine is None or engine.suspected or engine.announced_leaving:
             return False
         if self._recently_refused(name):
             return False
--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -5,6 +5,7 @@
 from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
+from verbenawind.gateway.leaving import StayingBackends
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.routes import RouteTable, service_of
 from verbenawind.gateway.server_ends import EndEvidence, ServerEndMonitor
@@ -46,6 +47,7 @@
     "ServerState",
     "Service",
     "ServiceShare",
+    "StayingBackends",
     "StreamForwarder",
     "service_of",
 ]
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -1,5 +1,6 @@
 """The registered backend servers, with their load and health as observed by this daemon."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from enum import StrEnum
 
@@ -20,6 +21,8 @@
 _LATENCY_WEIGHT = 0.3
 # Latency estimates decay with this half-life, so that slow servers are tried again.
 _LATENCY_HALF_LIFE_S = 5.0
+# Number of incarnations that are remembered as leaving after their entries are gone.
+_MAX_LEAVING = 1024
 
 
 class ServerState(StrEnum):
@@ -34,6 +37,9 @@
 class Backend:
     """One incarnation of a backend server, with its load and health as seen by this daemon.
 
+    Attributes:
+        announced_leaving: Whether it said in an answer, or once in the registry, that it leaves.
+
     Args:
         instance: The server's registry entry.
         clock: Time source.
@@ -46,6 +52,7 @@
         "_latency_s",
         "_measured_at_s",
         "_suspected_until_s",
+        "announced_leaving",
         "instance",
         "last_answer_s",
         "outstanding",
@@ -58,6 +65,7 @@
         self.instance = instance
         self.outstanding = 0
         self.removed_at_s: float | None = None
+        self.announced_leaving = instance.draining
         self.versions: dict[str, int] = dict(instance.versions)
         self._failures = 0
         self._suspected_until_s = 0.0
@@ -72,14 +80,14 @@
         """The state of the server as seen by this daemon."""
         if self.removed_at_s is not None:
             return ServerState.REMOVED
-        if self.instance.draining:
+        if self.announced_leaving:
             return ServerState.DRAINING
         return ServerState.SUSPECTED if self.suspected else ServerState.GOOD
 
     @property
     def leaving(self) -> bool:
         """Whether the server announced that it leaves, or its registration was removed."""
-        return self.instance.draining or self.removed_at_s is not None
+        return self.announced_leaving or self.removed_at_s is not None
 
     @property
     def last_contact_age_s(self) -> float:
@@ -141,12 +149,25 @@
         clock: Time source.
     """
 
-    __slots__ = ("_backends", "_clock", "_feed_recovered_at_s", "_listeners", "_log")
+    __slots__ = (
+        "_backends",
+        "_clock",
+        "_feed_recovered_at_s",
+        "_leaving",
+        "_listeners",
+        "_log",
+        "left_by_answer",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._backends: dict[str, Backend] = {}
         self._listeners: list[Callable[[], None]] = []
+        # Incarnations that announced that they leave, oldest first. An entry that expires and
+        # returns, or that is older than the announcement, undoes none of them.
+        self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
+        # Number of servers that announced it in an answer before the registry did.
+        self.left_by_answer = 0
         self._feed_recovered_at_s = float("-inf")
         self._log = structlog.get_logger("directory")
 
@@ -163,8 +184,8 @@
         """Add or update a server's registry entry."""
         known = self._backends.get(instance.instance_id)
         if known is not None and known.instance.started_ms == instance.started_ms:
-            if known.instance.draining and not instance.draining:
-                # An incarnation that has announced that it is draining never becomes active again.
+            if known.announced_leaving and not instance.draining:
+                # An incarnation that has announced that it leaves never becomes active again.
                 return
             changed = known.instance.versions != instance.versions
             if known.instance.draining != instance.draining or changed or known.removed_at_s:
@@ -174,10 +195,32 @@
             if changed:
                 known.versions.update(instance.versions)
         else:
-            self._backends[instance.instance_id] = Backend(instance, self._clock)
+            known = self._backends[instance.instance_id] = Backend(instance, self._clock)
             self._log.info("server_registered", **_log_fields(instance))
+        if instance.draining or self.is_leaving(instance):
+            self._remember_leaving(known)
         self._notify_listeners()
 
+    def mark_leaving(self, instance_id: str) -> None:
+        """Record that a server announced in an answer that it leaves; it gets no new requests."""
+        known = self._backends.get(instance_id)
+        if known is None or known.announced_leaving:
+            return
+        self.left_by_answer += 1
+        self._log.info(
+            "server_leaving_announced",
+            server=instance_id,
+            started_ms=known.instance.started_ms,
+            service=known.instance.service,
+            outstanding=known.outstanding,
+        )
+        self._remember_leaving(known)
+        self._notify_listeners()
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Return whether this incarnation of a server announced that it leaves."""
+        return (instance.instance_id, instance.started_ms) in self._leaving
+
     def remove(self, instance_id: str) -> None:
         """Remove a server's registry entry.
 
@@ -207,7 +250,7 @@
         return [
             backend
             for backend in self._backends.values()
-            if backend.instance.service == service and not backend.instance.draining
+            if backend.instance.service == service and not backend.announced_leaving
         ]
 
     def all(self) -> Iterable[Backend]:
@@ -219,6 +262,12 @@
         """Return a server by its id."""
         return self._backends.get(instance_id)
 
+    def _remember_leaving(self, backend: Backend) -> None:
+        backend.announced_leaving = True
+        self._leaving[backend.instance.instance_id, backend.instance.started_ms] = None
+        if len(self._leaving) > _MAX_LEAVING:
+            self._leaving.popitem(last=False)
+
     def _prune_removed(self) -> None:
         now_s = self._clock.monotonic_s()
         for instance_id, backend in list(self._backends.items()):
--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -64,6 +64,14 @@
     def signature(self) -> str:
         """The server's signature, empty if the response carries none."""
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announces that it leaves; its work under way goes on."""
+
+    @property
+    def answered_by(self) -> str:
+        """The id of the server that answered, empty if the response doesn't name it."""
+
     @property
     def version(self) -> int | None:
         """The weight version at the start of the response."""
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -183,7 +183,7 @@
             elif watch.ended:
                 if now_s - watch.decided_at_s > _REVOCABLE_S:
                     del self._watches[incarnation]
-            elif watch.backend.instance.draining:
+            elif watch.backend.announced_leaving:
                 self._drop(incarnation, watch, EndEvidence.LEAVING)
             elif self._is_replaced(watch):
                 self._decide(watch, EndEvidence.REPLACED)
@@ -210,7 +210,7 @@
 
     def _probed(self, watch: _Watch, task: asyncio.Task[ProbeResult]) -> None:
         watch.probe = None
-        if task.cancelled() or watch.ended or watch.backend.instance.draining:
+        if task.cancelled() or watch.ended or watch.backend.announced_leaving:
             return
         if self._watches.get(incarnation_of(watch.backend)) is not watch:
             return
@@ -251,7 +251,7 @@
         answered_at_s = watch.backend.last_answer_s
         if answered_at_s is not None and answered_at_s > watch.broke_at_s + _ANSWER_MARGIN_S:
             return EndEvidence.ANSWERED
-        if not watch.ended or watch.backend.instance.draining:
+        if not watch.ended or watch.backend.announced_leaving:
             return None
         known = self._directory.get(watch.backend.instance.instance_id)
         if known is None or known.removed_at_s is not None:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -326,6 +326,10 @@
     "crash_row_not_written": _event(
         "A row on servers' ends could not be written; it is retried.", "key reason"
     ),
+    "server_leaving_announced": _event(
+        "A server announced in an answer that it leaves; it gets no new requests.",
+        "server started_ms service outstanding",
+    ),
     "server_entry_unusable": _event(
         "A backend server's registration is malformed or unusable.", "server version"
     ),
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -38,6 +38,7 @@
     Instance,
     RouteTable,
     ServerEndMonitor,
+    StayingBackends,
     StreamForwarder,
 )
 from verbenawind.ids import new_id
@@ -170,6 +171,7 @@
             location=settings.location,
             number=0,
         )
+        staying_backends = StayingBackends(backends, self.directory)
         self.server_ends = ServerEndMonitor(
             self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
         )
@@ -190,7 +192,9 @@
             clock=clock,
             store_ms=store_ms,
         )
-        self.forwarder = Forwarder(self.directory, backends, settings.location, clock, self.guard)
+        self.forwarder = Forwarder(
+            self.directory, staying_backends, settings.location, clock, self.guard
+        )
         self.job_registry = JobRegistry(clock)
         job_store = JobStore(store, settings.max_row_bytes)
         self.runner = BatchRunner(
@@ -198,7 +202,7 @@
             job_store=job_store,
             job_registry=self.job_registry,
             directory=self.directory,
-            port=backends,
+            port=staying_backends,
             forwarder=self.forwarder,
             routes=lambda: self.routes,
             newest_version=lambda model: self.newest_versions.get(model, 1),
@@ -261,7 +265,7 @@
         )
         self.job_registry.on_change(self._on_job_change)
         self.streams = StreamForwarder(
-            self.directory, backends, settings.location, clock, self.guard
+            self.directory, staying_backends, settings.location, clock, self.guard
         )
 
     @property
--- a/src/verbenawind/platform/backends.py
+++ b/src/verbenawind/platform/backends.py
@@ -14,7 +14,9 @@
     DEADLINE_HEADER,
     EXPECT_INSTANCE_HEADER,
     EXPECT_VERSION_HEADER,
+    INSTANCE_HEADER,
     LAST_EVENT_HEADER,
+    LEAVING_HEADER,
     NOT_RUN_HEADER,
     SIGNATURE_HEADER,
     VERSION_HEADER,
@@ -78,6 +80,16 @@
         """The server's signature, empty if the response carries none."""
         return self._response.header(SIGNATURE_HEADER) or ""
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server announces that it leaves."""
+        return _is_leaving(self._response)
+
+    @property
+    def answered_by(self) -> str:
+        """The id of the server that answered, empty if the response doesn't name it."""
+        return self._response.header(INSTANCE_HEADER) or ""
+
     @property
     def version(self) -> int | None:
         """The weight version at the start of the response, None if it is not given."""
@@ -219,6 +231,7 @@
         return OrderReply(
             answer=_ANSWER_BY_STATUS.get(response.status, OrderAnswer.REFUSED),
             detail=str(response.status),
+            leaving=_is_leaving(response),
         )
 
     async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
@@ -249,9 +262,14 @@
             orders_accepted=wire.seq,
             running=wire.num_running,
             waiting=wire.num_waiting,
+            leaving=_is_leaving(response),
         )
 
 
+def _is_leaving(response: Http1Response) -> bool:
+    return (response.header(LEAVING_HEADER) or "").strip() == "1"
+
+
 _ANSWER_BY_STATUS = {
     200: OrderAnswer.HOLDS,
     202: OrderAnswer.ACCEPTED,
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -221,6 +221,11 @@
                 count,
                 evidence=evidence.name.lower(),
             )
+        set_gauge(
+            "servers_left_by_answer",
+            "Servers that announced in an answer, before the registry, that they leave.",
+            self.node.directory.left_by_answer,
+        )
         guard = self.node.guard
         set_gauge(
             "requests_suspected",
--- a/src/verbenawind/platform/names.py
+++ b/src/verbenawind/platform/names.py
@@ -7,6 +7,7 @@
     "EXPECT_VERSION_HEADER",
     "INSTANCE_HEADER",
     "LAST_EVENT_HEADER",
+    "LEAVING_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_TABLE",
     "SERVERS_TABLE",
@@ -24,6 +25,8 @@
 EXPECT_VERSION_HEADER = "X-Verbenawind-Expect-Version"
 INSTANCE_HEADER = "X-Verbenawind-Instance-Id"
 LAST_EVENT_HEADER = "Last-Event-Id"
+# The value 1 in any response of a server that will end soon.
+LEAVING_HEADER = "Server-Leaving"
 NOT_RUN_HEADER = "X-Verbenawind-Not-Executed"
 SIGNATURE_HEADER = "X-Verbenawind-Server-Stamp"
 # Holds a single version, despite the plural.
--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -33,7 +33,8 @@
     get status 422, those in ``fail_items`` status 500, as do the first ``failures_left`` requests;
     ``loses_responses`` runs requests and loses the responses; ``unsigned`` responses lack the
     signature; requests with a body in ``crash_bodies`` end the process ``crash_after_s`` after they
-    began to run, with ``crashes_silently`` without breaking its connections.
+    began to run, with ``crashes_silently`` without breaking its connections; a ``leaving`` engine
+    says so in every answer.
 
     Attributes:
         crash_starts: The entries of ``started`` whose requests ended the process.
@@ -66,6 +67,7 @@
         self.crash_bodies: set[bytes] = set()
         self.crash_after_s = 0.0
         self.crashes_silently = False
+        self.leaving = False
         self.crashed_at_s: list[float] = []
         self.crash_starts: list[tuple[float, str, int | None]] = []
         self.on_crash: Callable[[], None] | None = None
@@ -117,6 +119,8 @@
         self._run_number = len(engine.started)
         self._process_number = engine.crashes
         self._running = status == _OK and not refused
+        self.leaving = engine.leaving
+        self.answered_by = engine.instance.instance_id
         self._body = [attempt.request.body] if self._running else []
 
     @property
@@ -248,14 +252,14 @@
         if order.expected_orders not in (None, len(engine.orders)):
             return OrderReply(answer=OrderAnswer.BUSY, detail="order count differs")
         if engine.loading:
-            return OrderReply(answer=OrderAnswer.BUSY, detail="loading")
+            return OrderReply(answer=OrderAnswer.BUSY, detail="loading", leaving=engine.leaving)
         if engine.versions.get(order.model, 0) >= order.version:
             return OrderReply(answer=OrderAnswer.HOLDS, detail="version already loaded")
         loop = asyncio.get_running_loop()
         engine.orders.append((loop.time(), order.fencing_number, order))
         engine.loading = True
         loop.call_later(engine.load_s, self._finish_loading, engine, order)
-        return OrderReply(answer=OrderAnswer.ACCEPTED, detail="accepted")
+        return OrderReply(answer=OrderAnswer.ACCEPTED, detail="accepted", leaving=engine.leaving)
 
     async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
         """Return the status of an engine, or None if it is down."""
@@ -268,6 +272,7 @@
             orders_accepted=len(engine.orders),
             running=engine.running,
             waiting=0,
+            leaving=engine.leaving,
         )
 
     @staticmethod
--- a/src/verbenawind/weights/load_scheduler.py
+++ b/src/verbenawind/weights/load_scheduler.py
@@ -43,13 +43,17 @@
 
 
 class EngineReport(Value, frozen=True, kw_only=True):
-    """An engine's report about itself, which lags by some hundred milliseconds."""
+    """An engine's report about itself, which lags by some hundred milliseconds.
+
+    ``leaving`` is set if the engine announced with it that it leaves.
+    """
 
     versions: dict[str, int]
     changing: bool
     orders_accepted: int
     running: int
     waiting: int
+    leaving: bool = False
 
 
 class OrderPort(Protocol):
@@ -312,6 +316,8 @@
             answer=reply.answer.value,
             detail=reply.detail,
         )
+        if reply.leaving:
+            self._directory.mark_leaving(name)
         now_s = self._clock.monotonic_s()
         match reply.answer:
             case OrderAnswer.ACCEPTED:
@@ -372,6 +378,8 @@
         report = await self._port.report(engine.instance, _REPORT_TIMEOUT_S)
         if report is None:
             return
+        if report.leaving:
+            self._directory.mark_leaving(name)
         key = (name, engine.instance.started_ms)
         self._accepted_orders[key] = max(self._accepted_orders.get(key, 0), report.orders_accepted)
         if not report.changing:
--- a/src/verbenawind/weights/rolling.py
+++ b/src/verbenawind/weights/rolling.py
@@ -65,10 +65,14 @@
 
 
 class OrderReply(Value, frozen=True, kw_only=True):
-    """An engine's answer to an order, with a detail for the log."""
+    """An engine's answer to an order, with a detail for the log.
+
+    ``leaving`` is set if the engine announced in it that it leaves.
+    """
 
     answer: OrderAnswer
     detail: str
+    leaving: bool = False
 
 
 class EngineLoadState(Value, frozen=True, kw_only=True):
--- a/tests/on_platform/stubs.py
+++ b/tests/on_platform/stubs.py
@@ -179,7 +179,7 @@
     It echoes plain requests, streams events to requests that name a model, and accepts load orders.
     While ``refusing`` is set, requests get status 503 as not executed. ``drop_next`` is the number
     of next requests whose responses are lost; ``event_s`` is the delay between events. Requests
-    with the body ``crash_body`` end the server.
+    with the body ``crash_body`` end the server. A ``leaving`` server says so in all its answers.
     """
 
     def __init__(self, instance_id: str, version: int = 1) -> None:
@@ -191,9 +191,18 @@
         self.drop_next = 0
         self.event_s = 0.0
         self.crash_body: bytes | None = None
+        self.leaving = False
         self.orders: list[Any] = []
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def announce(message: MutableMapping[str, Any]) -> None:
+            if self.leaving and message["type"] == "http.response.start":
+                message["headers"].append((b"server-leaving", b"1"))
+            await send(message)
+
+        await self._answer(scope, receive, announce)
+
+    async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         body = await read_body(receive)
         if scope["path"] == "/api/report":
--- a/tests/on_platform/test_caller_app.py
+++ b/tests/on_platform/test_caller_app.py
@@ -49,6 +49,79 @@
         run_with_harness(work)
 
 
+class TestLeavingServers:
+    def test_announcement_is_passed_on_and_heeded(self) -> None:
+        """The header reaches the caller as it came, and the server gets no request after it."""
+
+        async def work(harness: PlatformHarness) -> None:
+            leaving = harness.plain[0]
+            leaving.leaving = True
+            headers = []
+            while not leaving.seen:
+                request_id = f"r{len(headers)}"
+                response = await harness.call("POST", "/plain/x", b"b", request_id=request_id)
+                headers.append(response.headers.get("server-leaving"))
+            assert headers[-1] == "1" and set(headers[:-1]) <= {None}
+            for index in range(10):
+                request_id = f"later-{index}"
+                response = await harness.call("POST", "/plain/x", b"b", request_id=request_id)
+                assert response.status == 200
+            assert len(leaving.seen) == 1
+
+        run_with_harness(work)
+
+    def test_same_header_of_a_caller_means_nothing(self) -> None:
+        """A request that carries the header changes nothing about the servers."""
+
+        async def work(harness: PlatformHarness) -> None:
+            for index in range(8):
+                await harness.call(
+                    "POST", "/plain/x", b"b", request_id=f"r{index}", Server_Leaving="1"
+                )
+            servers = harness.daemons[0].node.directory.backends("plain")
+            assert len(servers) == 2
+
+        run_with_harness(work)
+
+    def test_announcement_counts_for_the_server_that_answered(self) -> None:
+        """Another server answers at the address of one that is gone: 421, and it leaves."""
+
+        async def work(harness: PlatformHarness) -> None:
+            harness.register(harness.plain[1], "plain", address=harness.plain[0].address)
+            directory = harness.daemons[0].node.directory
+
+            def moved() -> bool:
+                known = directory.get("p1")
+                return known is not None and known.instance.address == harness.plain[0].address
+
+            await harness.until(moved)
+            harness.plain[0].leaving = True
+            for index in range(6):
+                await harness.call("POST", "/plain/x", b"b", request_id=f"r{index}")
+            first, second = directory.get("p0"), directory.get("p1")
+            assert first is not None and first.announced_leaving
+            assert second is not None and not second.announced_leaving
+
+        run_with_harness(work)
+
+    def test_answers_to_orders_announce(self) -> None:
+        """An engine says in its answer to a load order that it leaves."""
+
+        async def work(harness: PlatformHarness) -> None:
+            harness.engines[0].leaving = True
+            harness.store.put("op", "version/tuner", {"model": "tuner", "version": 2})
+            harness.store.put("op", "version/tuner", {"model": "tuner", "version": 3})
+            directory = harness.daemons[0].node.directory
+
+            def announced() -> bool:
+                known = directory.get("e0")
+                return known is not None and known.announced_leaving
+
+            await harness.until(announced)
+
+        run_with_harness(work)
+
+
 class TestPlainRequests:
     def test_request_and_response_are_forwarded_unchanged(self) -> None:
         """Method, target, body and end-to-end headers are forwarded; so is the response."""
