Revoke reports on servers that answer other hosts

Cause: to a host in a partition that refuses connections all servers beyond it seem to have ended. It revoked its reports only when the same servers answered itself within 30 s. Change: each host checks fresh reports against the answers that it got from the same process, with a margin, and removes those that are refuted.

--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -27,6 +27,10 @@
 # A request that was answered within this time isn't suspected.
 _ANSWER_MEMORY_S = 60.0
 _MAX_REMEMBERED = 1024
+# Reports of other hosts are checked against the answers that this host got from the same process.
+# The margin covers answers under way and the difference between the hosts' views of the time.
+_CHECKED_REPORTS_MS = 30_000
+_ANSWER_MARGIN_S = 0.5
 # Shortest time to return for a caller that met the trial of another one.
 _MIN_RETRY_S = 0.25
 
@@ -124,6 +128,7 @@
         while True:
             await self._clock.sleep(_CHECK_PERIOD_S)
             self.monitor.check()
+            self._revoke_refuted_reports()
             self.records.wake()
             now_s = self._clock.monotonic_s()
             if now_s >= next_sweep_s:
@@ -159,6 +164,19 @@
                     term_s=round(max(0, term_ms) / 1000, 3),
                 )
 
+    def _revoke_refuted_reports(self) -> None:
+        """Remove reports on processes that have answered this host since.
+
+        To a host in a partition that refuses connections, all servers beyond it seem to have ended.
+        """
+        now_ms, now_s = self._store_ms(), self._clock.monotonic_s()
+        ended = self.history.incarnations_ended_since(now_ms - _CHECKED_REPORTS_MS)
+        for incarnation, ended_ms in ended.items():
+            ended_at_s = now_s - (now_ms - ended_ms) / 1000
+            if self.monitor.answered_since(incarnation, ended_at_s + _ANSWER_MARGIN_S):
+                self._log.info("crash_report_refuted", crash=incarnation)
+                self.records.revoke(incarnation)
+
     def _clear(self, fingerprint: str, *, least_ends: int) -> None:
         standing = self.history.standing(fingerprint, self._store_ms())
         if standing.ends >= least_ends:
--- a/src/verbenawind/gateway/crash_history.py
+++ b/src/verbenawind/gateway/crash_history.py
@@ -185,6 +185,14 @@
             refused_until_ms=now_ms + term_ms,
         )
 
+    def incarnations_ended_since(self, since_ms: int) -> Mapping[str, int]:
+        """Return the processes reported to have ended after a time, and when."""
+        return {
+            report.incarnation: report.ended_ms
+            for report in self._reports.values()
+            if report.ended_ms >= since_ms
+        }
+
     def expired_reports(self, now_ms: int) -> Collection[str]:
         """Return the keys of the reports that no longer matter."""
         return [key for key, report in self._reports.items() if not self._is_kept(report, now_ms)]
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -138,6 +138,15 @@
             if not watch.ended
         )
 
+    def answered_since(self, incarnation: str, at_s: float) -> bool:
+        """Return whether a server's process has answered this host after a monotonic time."""
+        return any(
+            incarnation_of(backend) == incarnation
+            and backend.last_answer_s is not None
+            and backend.last_answer_s > at_s
+            for backend in self._directory.all()
+        )
+
     def send_broke(self, backend: Backend, send: UnansweredSend) -> None:
         """Record that a send broke after its server may have run it, and probe the server."""
         if backend.leaving:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -322,6 +322,9 @@
     "crash_not_reported": _event(
         "The end of a server is not recorded: there are too many reports.", "crash requests"
     ),
+    "crash_report_refuted": _event(
+        "A process that was reported to have ended has answered this host since.", "crash"
+    ),
     "crash_row_unreadable": _event("A row on servers' ends is malformed.", "key error"),
     "crash_row_not_written": _event(
         "A row on servers' ends could not be written; it is retried.", "key reason"
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -20,6 +20,7 @@
     RouteKind,
     ServiceShare,
 )
+from verbenawind.gateway.server_ends import UnansweredSend
 from verbenawind.kernel.row_ports import StoredRow
 from verbenawind.standins.opaque_engines import OpaqueEngine
 from verbenawind.state.heartbeats import HOSTS_TABLE
@@ -443,6 +444,28 @@
 
         run_desk(work)
 
+    def test_reports_of_a_host_in_a_partition_are_refuted(self) -> None:
+        """One host takes living servers for ended; the hosts that they answer say otherwise."""
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            fingerprint = "0" * 32
+            send = UnansweredSend(fingerprint=fingerprint, sent_ms=fleet.store.store_ms())
+            for index in range(3):
+                records = fleet.members["host-0"].node.crash_records
+                records.report(f"desk-{index}.1", DESK, [send])
+                await fleet.clock.sleep(0.2)
+            guard = fleet.members["host-1"].node.guard
+            await fleet.until(lambda: guard.standing(fingerprint).convicted)
+            await fleet.clock.sleep(1.0)
+            for number in range(30):
+                await asyncio.gather(*(desk.ask(1, f"own {number} {n}".encode()) for n in range(3)))
+            await fleet.clock.sleep(3.0)
+            for host in range(3):
+                assert not fleet.members[f"host-{host}"].node.guard.standing(fingerprint).ends
+
+        run_desk(work, servers=3)
+
     def test_bystanders_leave_nothing_behind(self) -> None:
         """Requests on a crashed server that are answered elsewhere are taken out of the report."""
 
