Soak requests that end servers, and servers that leave

Change: a caller sends a request that ends each plain server, at any host, during all faults; once they are over and the hosts are in touch, at most three more servers may end. Plain servers say that they leave, and are started again; a host that passed that on may send nothing there after the drain, unless it was restarted or paused since.

--- a/tests/on_platform/stubs.py
+++ b/tests/on_platform/stubs.py
@@ -225,7 +225,7 @@
         target = scope["raw_path"].decode() + (f"?{query}" if query else "")
         self.seen.append((scope["method"], target, headers, body))
         if body == self.crash_body:
-            await self.stop()
+            await self.end_process()
             raise ConnectionDropped
         if self.drop_next:
             self.drop_next -= 1
@@ -237,7 +237,16 @@
         if "x-verbenawind-model-name" in headers:
             await self._stream(send, headers, int(body), own)
         else:
-            await answer(send, 200, b"echo " + body, x_own="kept", **own)
+            await answer(send, 200, b"echo " + body, x_own=self.own_header, **own)
+
+    @property
+    def own_header(self) -> str:
+        """The value of the header ``X-Own`` of the answers to plain requests."""
+        return "kept"
+
+    async def end_process(self) -> None:
+        """End the server under a request with the ``crash_body``."""
+        await self.stop()
 
     async def _stream(
         self, send: Send, headers: dict[str, str], count: int, own: dict[str, str]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,6 +25,9 @@
 class FaultyProxy:
     """Forwards connections to one address, subject to ``fault``.
 
+    Attributes:
+        down: Whether the process behind the proxy has ended, in addition to any fault of the link.
+
     Args:
         target: ``IP:port`` of the server behind the proxy.
     """
@@ -35,6 +38,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault = LinkFault.NONE
+        self.down = False
         self.address = ""
 
     async def start(self) -> None:
@@ -57,7 +61,7 @@
             task.cancel()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.fault is LinkFault.REFUSE:
+        if self.down or self.fault is LinkFault.REFUSE:
             writer.transport.abort()
             return
         host, _, port = self._target.rpartition(":")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from on_platform.stubs import StubServer, StubStore
 from soak.hosts import SoakHost
 from soak.proxy import FaultyProxy, LinkFault
+from soak.servers import PlainServer
 
 __all__ = ["Soak", "send_raw_request"]
 
@@ -24,6 +25,11 @@
 _RECOVERY_TIMEOUT_S = 25.0
 # Time limit for a process to exit after SIGTERM.
 _SHUTDOWN_TIMEOUT_S = 8.0
+_PLAIN_SERVERS = 5
+# A request under which three servers ended may reach servers so often later than the contact time.
+_MAX_LATE_SENDS = 3
+_CONTACT_S = 4.0
+_DRAIN_S = 2.5
 # Minimum time between the orders of two lease holders to one engine.
 _ORDER_GAP_S = 3.0
 
@@ -112,7 +118,8 @@
         self._harness = PlatformHarness()
         self._harness.store = self.store = StubStore()
         self._harness.engines = []
-        self._harness.plain = [StubServer("p0"), StubServer("p1")]
+        self._plain = [PlainServer(f"p{index}", self._harness) for index in range(_PLAIN_SERVERS)]
+        self._harness.plain = list(self._plain)
         self._engines = [_Engine(f"e{index}") for index in range(engines)]
         self._server_links: list[FaultyProxy] = []
         self._directory = directory
@@ -121,6 +128,11 @@
         self._jobs: list[_Job] = []
         self._request_statuses: dict[str, int] = {}
         self._status_counts: dict[int, int] = {}
+        self._crashing_requests = 0
+        # The host and time of each request, and when a host passed on that a process leaves.
+        self._sent: dict[str, tuple[str, float]] = {}
+        self._announced: dict[tuple[str, str], float] = {}
+        self._interruptions: list[tuple[str, float]] = []
         self._injecting_faults = True
         self.violations: list[str] = []
         self.faults: list[str] = []
@@ -131,7 +143,7 @@
         try:
             load = [
                 asyncio.ensure_future(load_task())
-                for load_task in (self._run_trainer, self._run_callers)
+                for load_task in (self._run_trainer, self._run_callers, self._run_crashing_caller)
             ]
             injectors = [asyncio.ensure_future(self._inject(seconds)) for _ in range(2)]
             await asyncio.gather(*injectors)
@@ -139,7 +151,9 @@
             await asyncio.gather(*load)
             await self._end_faults()
             await self._check_jobs()
+            await self._check_crashing_request()
             self._check_servers()
+            self._check_leaving_servers()
         finally:
             for host in self.hosts:
                 await host.stop()
@@ -153,8 +167,10 @@
             link = FaultyProxy(server.address)
             await link.start()
             self._server_links.append(link)
-            service = "engines" if server in self._engines else "plain"
-            self._harness.register(server, service, address=link.address)
+            if isinstance(server, PlainServer):
+                server.put_behind(link)
+            else:
+                self._harness.register(server, "engines", address=link.address)
         self._harness.configure()
         zones = ("a", "b")
         for index in range(self._host_count):
@@ -189,6 +205,7 @@
             self._drop_store_responses,
             self._order_new_version,
             self._change_configuration,
+            self._let_server_leave,
         ]
         ends_at_s = time.monotonic() + seconds
         while time.monotonic() < ends_at_s:
@@ -204,6 +221,7 @@
     async def _kill_host(self) -> None:
         host = self._choose_running_host()
         if host is not None:
+            self._interruptions.append((host.name, time.monotonic()))
             host.send_signal(signal.SIGKILL)
             await host.wait_for_exit(5.0)
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
@@ -218,6 +236,7 @@
         allowed_exit_codes = {0, -signal.SIGKILL, None} | (
             set() if host.has_started() else {-signal.SIGTERM}
         )
+        self._interruptions.append((host.name, time.monotonic()))
         host.send_signal(signal.SIGTERM)
         code = await host.wait_for_exit(_SHUTDOWN_TIMEOUT_S)
         if code is None and host.is_running:
@@ -233,6 +252,7 @@
     async def _pause_host(self) -> None:
         host = self._choose_running_host()
         if host is not None:
+            self._interruptions.append((host.name, time.monotonic()))
             host.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self._rng.uniform(0.5, 4.0))
             host.send_signal(signal.SIGCONT)
@@ -266,6 +286,15 @@
     async def _change_configuration(self) -> None:
         self._harness.configure(version=int(time.monotonic() * 1000))
 
+    async def _let_server_leave(self) -> None:
+        """Let a server say in its answers that it leaves, and start it again after the drain."""
+        server = self._rng.choice(self._plain)
+        if server.leaving:
+            return
+        server.leaving = True
+        await asyncio.sleep(self._rng.uniform(1.0, 2 * _DRAIN_S))
+        server.restart()
+
     async def _end_faults(self) -> None:
         self.store.busy, self.store.drop_next = False, 0
         for link in (*self._server_links, *(host.store_link for host in self.hosts)):
@@ -345,6 +374,19 @@
                 self.violations.append(f"{request_id} got the response {response.body!r}")
             await asyncio.sleep(0.02)
 
+    async def _run_crashing_caller(self) -> None:
+        """Send the request that ends each server, again and again at any host."""
+        while self._injecting_faults:
+            await self._ask_crashing()
+            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+
+    async def _ask_crashing(self) -> None:
+        self._crashing_requests += 1
+        request_id = f"crash{self._crashing_requests}"
+        host = self._rng.choice(self.hosts)
+        kind = self._rng.choice(["plain", "once"])
+        await self._request(host, "POST", f"/{kind}/x", request_id, PlainServer.CRASH_BODY)
+
     async def _request(
         self,
         host: SoakHost,
@@ -360,7 +402,14 @@
         lines.append(f"X-Verbenawind-Deadline-Ms: {int(timeout_s * 1000)}")
         lines.append(f"Content-Length: {len(body)}")
         data = "\r\n".join([*lines, "\r\n"]).encode() + body
-        return await send_raw_request(host.callers_address, data, timeout_s + 0.5)
+        sent_at_s, process = time.monotonic(), host.process
+        self._sent[request_id] = (host.name, sent_at_s)
+        response = await send_raw_request(host.callers_address, data, timeout_s + 0.5)
+        if response is not None and response.headers.get("server-leaving") == "1":
+            server = response.headers["x-own"]
+            if host.process is process:
+                self._announced.setdefault((host.name, server), time.monotonic())
+        return response
 
     # Checks of the promises.
 
@@ -389,6 +438,36 @@
             if result["state"] != "completed" or result["text"] != text:
                 self.violations.append(f"result of {result['id']} is incomplete: {result}")
 
+    async def _check_crashing_request(self) -> None:
+        """Check that the hosts refuse the crashing request once they are in touch again."""
+        await asyncio.sleep(_CONTACT_S)
+        ended = sum(len(server.ended_at_s) for server in self._plain)
+        for _ in range(10):
+            await self._ask_crashing()
+            await asyncio.sleep(0.3)
+        late = sum(len(server.ended_at_s) for server in self._plain) - ended
+        allowed = _MAX_LATE_SENDS + max(0, 3 - ended)
+        if late > allowed:
+            self.violations.append(
+                f"the crashing request ended {ended} servers, and {late} after the faults"
+            )
+
+    def _check_leaving_servers(self) -> None:
+        """Check that hosts which passed an announcement on sent nothing there after the drain."""
+        for server in self._plain:
+            for process, request_id in server.requests():
+                host, sent_at_s = self._sent.get(request_id, ("", 0.0))
+                announced_at_s = self._announced.get((host, process))
+                if announced_at_s is None or sent_at_s <= announced_at_s + _DRAIN_S:
+                    continue
+                if self._was_interrupted(host, announced_at_s, sent_at_s):
+                    continue
+                self.violations.append(f"{host} sent {request_id} to {process}, which was leaving")
+
+    def _was_interrupted(self, host: str, from_s: float, until_s: float) -> bool:
+        """Return whether a host was restarted or paused in a period, which excuses it."""
+        return any(from_s <= at_s <= until_s for name, at_s in self._interruptions if name == host)
+
     def _check_servers(self) -> None:
         run_counts: dict[str, int] = {}
         for server in (*self._engines, *self._harness.plain):
@@ -431,6 +510,9 @@
                 "items": sum(len(job.items) for job in self._jobs if job.accepted),
                 "plain_answers": self._status_counts,
                 "faults": {name: self.faults.count(name) for name in sorted(set(self.faults))},
+                "crashing_requests": self._crashing_requests,
+                "servers_ended": sum(len(server.ended_at_s) for server in self._plain),
+                "leaving_announced": len(self._announced),
                 "orders": sum(len(engine.orders) for engine in self._engines),
                 "broken": self.violations,
             }
