Let the feed undo no newer row of this host; avoid an engine while others have the weights

The feed is behind a host's own writes: it brought back a request that had been taken out of a report, and a report that had been deleted, until it caught up. And an engine that is only suspected counted as unable to run an item, so that an item with a status 500 went back to the same engine at once, where the second one would have taken it in its turn. Change: rows older than the newest version that this host knows, or that it is about to write, are not applied; expired reports that were never written are forgotten. The exclusion of an engine holds while another has the weights, suspected or not.

--- a/src/verbenawind/batches/engine_selection.py
+++ b/src/verbenawind/batches/engine_selection.py
@@ -116,7 +116,7 @@
         choice = choose_engine(
             states,
             min_version=record.min_version if model else 0,
-            excluded=work.excluded if self._others_can_run(engines, record, work) else (),
+            excluded=work.excluded if self._others_have_weights(engines, record, work) else (),
             probes=probes,
         )
         if choice is not None and choice.probing:
@@ -125,13 +125,12 @@
             self._refused_until_s[choice.instance_id] = now_s + _REFUSAL_BACKOFF_S
         return choice
 
-    def _others_can_run(
+    def _others_have_weights(
         self, engines: Mapping[str, Backend], record: JobRecord, work: ItemWork
     ) -> bool:
-        """Return whether an engine that the item does not avoid could run it, now or soon."""
+        """Return whether an engine that the item does not avoid has the weights that it accepts."""
         return any(
             name not in work.excluded
-            and not engine.suspected
             and (not record.model or engine.versions.get(record.model, 0) >= record.min_version)
             for name, engine in engines.items()
         )
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -69,6 +69,7 @@
         "_clock",
         "_history",
         "_log",
+        "_newest",
         "_on_report",
         "_owner",
         "_pending",
@@ -95,7 +96,10 @@
         self._owner = owner
         self._clock = clock
         self._store_ms = store_ms
+        # Versions of the rows that exist, as transactions check them.
         self._versions: dict[str, int] = {}
+        # Newest known version of each row, which is that of the deletion for a deleted one.
+        self._newest: dict[str, int] = {}
         # Rows to write, with a value of None for those to delete.
         self._pending: dict[str, bytes | None] = {}
         self._wake = asyncio.Event()
@@ -107,12 +111,20 @@
         self._on_report = listener
 
     def apply_row(self, row: StoredRow) -> None:
-        """Apply a row of the table from the change feed."""
+        """Apply a row of the table from the change feed.
+
+        The feed is behind the writes of this host, whose rows it doesn't undo.
+        """
         key = row.row_id.key
+        if row.version < self._newest.get(key, 0):
+            return
         if row.value is None:
             self._versions.pop(key, None)
+            self._newest.pop(key, None)
         else:
-            self._versions[key] = row.version
+            self._versions[key] = self._newest[key] = row.version
+        if key in self._pending:
+            return
         try:
             if key.startswith(_REPORT_PREFIX):
                 self._put_report(key, _decode(row.value, CrashReport), own=False)
@@ -183,7 +195,7 @@
         except (RowConflict, StoreUnavailable) as error:
             self._log.info("trial_not_claimed", fingerprint=fingerprint, reason=error.message)
             return False
-        self._versions[key] = max(version, self._versions.get(key, 0))
+        self._versions[key] = self._newest[key] = version
         self._history.put_claim(fingerprint, claim)
         return True
 
@@ -209,7 +221,10 @@
         for fingerprint in self._history.expired_requests(now_ms):
             keys += [f"{_CLEARANCE_PREFIX}{fingerprint}", f"{_CLAIM_PREFIX}{fingerprint}"]
         for key in keys:
-            if key in self._versions and is_assigned(key):
+            if key not in self._versions:
+                # It was never written.
+                self._history.put_report(key, None)
+            elif is_assigned(key):
                 self._write(key, None)
 
     def wake(self) -> None:
@@ -255,7 +270,12 @@
                 transaction = RowTransaction(checks=tuple(checks), writes=tuple(writes))
                 version = await self._store.commit(transaction, _WRITE_TIMEOUT_S)
                 for write in writes:
-                    self._versions[write.row_id.key] = version if write.value is not None else 0
+                    key = write.row_id.key
+                    self._newest[key] = version
+                    if write.value is not None:
+                        self._versions[key] = version
+                    else:
+                        self._versions.pop(key, None)
         except RowConflict as conflict:
             # Another host wrote one of the rows, or an earlier write of this one took effect.
             self._versions.update(conflict.versions)
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -70,11 +70,19 @@
 class _Watch:
     """The unanswered sends of one incarnation."""
 
-    __slots__ = ("backend", "broke_at_s", "decided_at_s", "ended", "probe", "sends", "was_removed")
+    __slots__ = (
+        "backend",
+        "decided_at_s",
+        "ended",
+        "probe",
+        "sends",
+        "unanswered_at_s",
+        "was_removed",
+    )
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
-        self.broke_at_s = 0.0
+        self.unanswered_at_s = 0.0
         self.sends: dict[UnansweredSend, None] = {}
         self.probe: asyncio.Task[ProbeResult] | None = None
         self.ended = False
@@ -198,7 +206,7 @@
                 self._decide(watch, EndEvidence.REPLACED)
             elif self._is_removed(watch):
                 self._probe_after_removal(watch)
-            elif now_s - watch.broke_at_s > _WATCH_S:
+            elif now_s - watch.unanswered_at_s > _WATCH_S:
                 self._drop(incarnation, watch, EndEvidence.UNKNOWN)
 
     def _watch(self, backend: Backend, send: UnansweredSend) -> _Watch | None:
@@ -212,7 +220,7 @@
             watch = self._watches[incarnation] = _Watch(backend)
         if len(watch.sends) < _MAX_SENDS:
             watch.sends[send] = None
-        watch.broke_at_s = self._clock.monotonic_s()
+        watch.unanswered_at_s = self._clock.monotonic_s()
         if watch.ended:
             self._notify(watch)
         return watch
@@ -258,7 +266,7 @@
 
     def _evidence_of_life(self, watch: _Watch) -> EndEvidence | None:
         answered_at_s = watch.backend.last_answer_s
-        if answered_at_s is not None and answered_at_s > watch.broke_at_s + _ANSWER_MARGIN_S:
+        if answered_at_s is not None and answered_at_s > watch.unanswered_at_s + _ANSWER_MARGIN_S:
             return EndEvidence.ANSWERED
         if not watch.ended or watch.backend.announced_leaving:
             return None
