--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,9 @@
 REGRESSIONS: dict[int, str] = {
     28: "SIGTERM reached a process still importing its modules: no fault, the check was too strict",
     208: "two faults started a daemon twice; one process outlived its soak and used the next store",
+    1003: "requests to two paths were counted as one request: no fault, the check was too strict",
+    1004: "as 1003",
+    1012: "as 1003",
     242: "as 208: a process of h0 that another soak had started deleted the results",
 }
 
