Spare the last server of a service from a suspected request

Callers saw (own test): one attempt of a request that ends servers took all three servers of a service down, and every other caller was refused until they were back. Cause: three ends convict, and a service may have no more than three servers. Change: a request under which two servers ended isn't sent while its service is down to one of several; it is refused with a time of 1 s. Servers that a host suspects, or whose ends were reported in the last 10 s, count as down. A service with a single server isn't affected. Before and after: the new test saw no other caller served; now all are, by the third server.

--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -13,7 +13,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.errors import Outcome, RequestConvicted
-from verbenawind.gateway.crash_history import CONVICTION_ENDS, CrashHistory, CrashReport, Standing
+from verbenawind.gateway.crash_history import CrashHistory, CrashReport, Standing
 from verbenawind.gateway.crash_records import CrashRecords
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.fingerprints import request_fingerprint
@@ -31,6 +31,11 @@
 # The margin covers answers under way and the difference between the hosts' views of the time.
 _CHECKED_REPORTS_MS = 30_000
 _ANSWER_MARGIN_S = 0.5
+# A request under which so many servers ended doesn't get the last server that its service has left.
+_ENDS_FOR_LAST_SERVER = 2
+_LAST_SERVER_RETRY_S = 1.0
+# Servers whose ends were reported within this time are taken for down until they register again.
+_DOWN_MS = 10_000
 # Shortest time to return for a caller that met the trial of another one.
 _MIN_RETRY_S = 0.25
 
@@ -94,9 +99,14 @@
             if self.history.standing(fingerprint, now_ms).convicted
         ]
 
-    def open(self, request: CallerRequest) -> "GuardedRequest":
-        """Return the request as it is guarded across its sends."""
-        return GuardedRequest(request, self)
+    def open(self, request: CallerRequest, service: str) -> "GuardedRequest":
+        """Return a request to a service as it is guarded across its sends."""
+        return GuardedRequest(request, service, self)
+
+    def is_down_to_one(self, service: str) -> bool:
+        """Return whether a service with several servers has at most one left."""
+        ended = self.history.incarnations_ended_since(self._store_ms() - _DOWN_MS)
+        return self.monitor.is_down_to_one(service, ended)
 
     def standing(self, fingerprint: str) -> Standing:
         """Return what is known of a request; nothing is held against one answered lately."""
@@ -197,13 +207,15 @@
 
     Args:
         request: The request.
+        service: The service that it is for.
         guard: Knows the ends of servers under such requests.
     """
 
-    __slots__ = ("_fingerprint", "_guard", "_log", "_request", "is_trial")
+    __slots__ = ("_fingerprint", "_guard", "_log", "_request", "_service", "is_trial")
 
-    def __init__(self, request: CallerRequest, guard: CrashGuard) -> None:
+    def __init__(self, request: CallerRequest, service: str, guard: CrashGuard) -> None:
         self._request = request
+        self._service = service
         self._guard = guard
         self._fingerprint = ""
         self._log = structlog.get_logger("crash_guard")
@@ -232,6 +244,7 @@
             return
         standing = self._guard.standing(self.fingerprint)
         if not standing.convicted:
+            self._spare_last_server(Outcome.NOT_RUN)
             return
         term_is_over = standing.refused_until_ms <= self._guard.now_ms()
         if not term_is_over or not await self._guard.records.claim(self.fingerprint):
@@ -256,10 +269,11 @@
         """
         if self._is_unsuspicious or self.is_trial:
             return
-        if self._guard.standing(self.fingerprint).ends + self._pending >= CONVICTION_ENDS:
+        if self._guard.standing(self.fingerprint).ends + self._pending >= _ENDS_FOR_LAST_SERVER:
             await self._guard.monitor.probed(self.fingerprint)
         if self._guard.standing(self.fingerprint).convicted:
             raise self._refusal(outcome)
+        self._spare_last_server(outcome)
 
     def answered(self) -> None:
         """Record that a server answered the request."""
@@ -299,7 +313,15 @@
     def _send(self, sent_ms: int) -> UnansweredSend:
         return UnansweredSend(fingerprint=self.fingerprint, sent_ms=sent_ms)
 
-    def _refusal(self, outcome: Outcome) -> RequestConvicted:
+    def _spare_last_server(self, outcome: Outcome) -> None:
+        """Refuse a suspect whose next run could leave its service without a server."""
+        ends = self._guard.standing(self.fingerprint).ends
+        if ends >= _ENDS_FOR_LAST_SERVER and self._guard.is_down_to_one(self._service):
+            raise self._refusal(outcome, "its service has one server left", _LAST_SERVER_RETRY_S)
+
+    def _refusal(
+        self, outcome: Outcome, reason: str = "convicted", retry_after_s: float = 0.0
+    ) -> RequestConvicted:
         standing = self._guard.standing(self.fingerprint)
         remaining_s = (standing.refused_until_ms - self._guard.now_ms()) / 1000
         self._guard.refusals += 1
@@ -309,10 +331,11 @@
             fingerprint=self.fingerprint,
             crashes=standing.ends,
             trials=standing.trials,
+            reason=reason,
         )
         return RequestConvicted(
             f"request {self._request.request_id} is refused: the processes of {standing.ends} "
             "servers ended under such requests",
             outcome=outcome,
-            retry_after_s=round(max(_MIN_RETRY_S, remaining_s), 2),
+            retry_after_s=round(max(_MIN_RETRY_S, retry_after_s, remaining_s), 2),
         )
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -150,7 +150,7 @@
             RequestConvicted: Servers ended under such requests, which are refused for a time.
             VerbenawindError: No server responded; the outcome tells whether one may have run it.
         """
-        guarded = self._guard.open(request)
+        guarded = self._guard.open(request, service)
         await guarded.admit()
         exchange = _Exchange(request, route, service, guarded)
         self._hedge_tokens = min(
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import StrEnum
 
 import structlog
@@ -155,6 +155,17 @@
             for backend in self._directory.all()
         )
 
+    def is_down_to_one(self, service: str, ended: Collection[str]) -> bool:
+        """Return whether at most one of a service's several servers is left.
+
+        Args:
+            service: The service.
+            ended: Processes that have ended lately, by incarnation.
+        """
+        servers = self._directory.backends(service)
+        left = [s for s in servers if not s.suspected and incarnation_of(s) not in ended]
+        return len(left) <= 1 < len(servers)
+
     def send_broke(self, backend: Backend, send: UnansweredSend) -> None:
         """Record that a send broke after its server may have run it, and probe the server."""
         if backend.leaving:
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -65,7 +65,7 @@
             VerbenawindError: The stream did not start, or broke and cannot be resumed.
         """
         tried: set[str] = set()
-        guarded = self._guard.open(request)
+        guarded = self._guard.open(request, service)
         await guarded.admit()
         first_response: BackendResponse | None = None
         last_id = request.resume_after
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -309,7 +309,7 @@
     "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint"),
     "request_refused_as_convicted": _event(
         "A request was refused because servers ended under such requests.",
-        "request_id fingerprint crashes trials",
+        "request_id fingerprint crashes trials reason",
     ),
     "request_tried": _event(
         "A convicted request is sent again, once for all hosts.",
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -382,6 +382,38 @@
         run_desk(work)
 
 
+class TestServiceThatRunsOutOfServers:
+    def test_last_server_is_spared(self) -> None:
+        """Three servers: the first attempt ends two of them, and others are served by the third."""
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            fleet.poison(POISON, back_after_s=5.0)
+            for attempt in range(4):
+                answer = await desk.ask(attempt % 3, POISON)
+                assert isinstance(answer, RequestConvicted)
+                assert answer.retry_after_s is not None and answer.retry_after_s <= 1.0
+                assert isinstance(await desk.ask(attempt % 3, b"other"), Reply)
+                await fleet.clock.sleep(0.5)
+            assert len(desk.sends_at_s()) == 2
+
+        run_desk(work, servers=3)
+
+    def test_only_server_is_not_spared_for_ever(self) -> None:
+        """A service with a single server: it ended twice under a request that is sound now."""
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            fleet.poison(POISON, back_after_s=0.5)
+            for host in range(2):
+                await desk.ask(host, POISON, kind=RouteKind.NON_IDEMPOTENT)
+                await fleet.clock.sleep(2.0)
+            desk.server(0).crash_bodies.clear()
+            assert isinstance(await desk.ask(2, POISON), Reply)
+
+        run_desk(work, servers=1)
+
+
 class TestInnocentRequests:
     @pytest.mark.parametrize("seed", range(4))
     def test_servers_that_end_by_themselves_convict_nobody(self, seed: int) -> None:
