--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -114,6 +114,13 @@
             return Standing()
         return self.history.standing(fingerprint, self._store_ms())
 
+    def standing_on_arrival(self, fingerprint: str) -> Standing:
+        """Return what is known of a request, with the servers that may have ended under it."""
+        if self._answered_lately(fingerprint):
+            return Standing()
+        undecided = self.monitor.pending(fingerprint)
+        return self.history.standing(fingerprint, self._store_ms(), undecided=undecided)
+
     def answered(self, fingerprint: str) -> None:
         """Record that a server answered a request, which clears it of earlier ends.
 
@@ -242,12 +249,14 @@
         """
         if self._is_unsuspicious:
             return
-        standing = self._guard.standing(self.fingerprint)
+        standing = self._guard.standing_on_arrival(self.fingerprint)
         if not standing.convicted:
             self._spare_last_server(Outcome.NOT_RUN)
             return
         term_is_over = standing.refused_until_ms <= self._guard.now_ms()
-        if not term_is_over or not await self._guard.records.claim(self.fingerprint):
+        if not term_is_over or not await self._guard.records.claim(
+            self.fingerprint, doubtful=standing.doubtful
+        ):
             raise self._refusal(Outcome.NOT_RUN)
         self.is_trial = True
         self._guard.trials += 1
@@ -322,7 +331,7 @@
     def _refusal(
         self, outcome: Outcome, reason: str = "convicted", retry_after_s: float = 0.0
     ) -> RequestConvicted:
-        standing = self._guard.standing(self.fingerprint)
+        standing = self._guard.standing_on_arrival(self.fingerprint)
         remaining_s = (standing.refused_until_ms - self._guard.now_ms()) / 1000
         self._guard.refusals += 1
         self._log.info(
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -181,10 +181,17 @@
         self._history.put_clearance(fingerprint, clearance)
         self._write(f"{_CLEARANCE_PREFIX}{fingerprint}", msgspec.json.encode(clearance))
 
-    async def claim(self, fingerprint: str) -> bool:
-        """Claim the next trial of a convicted request for this host; at most one host succeeds."""
+    async def claim(self, fingerprint: str, *, doubtful: bool) -> bool:
+        """Claim the next trial of a convicted request for this host; at most one host succeeds.
+
+        Args:
+            fingerprint: The request.
+            doubtful: Whether the ends may have another cause, which shortens the terms.
+        """
         key = f"{_CLAIM_PREFIX}{fingerprint}"
-        claim = self._history.next_claim(fingerprint, new_id("trial"), self._store_ms())
+        claim = self._history.next_claim(
+            fingerprint, new_id("trial"), self._store_ms(), doubtful=doubtful
+        )
         transaction = replacement_transaction(
             RowId(table=self._table, key=key),
             self._versions.get(key, 0),
