--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -50,8 +50,8 @@
 _RESERVED: set[int] = set()
 # Concurrent soaks take ports from separate ranges, selected by process ID, to avoid collisions.
 _FIRST_PORT = 20_000
-_RANGE_SIZE = 60
-_RANGE_COUNT = 200
+_RANGE_SIZE = 180
+_RANGE_COUNT = 66
 
 
 class SoakHost:
