--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -31,8 +31,8 @@
 # The margin covers answers under way and the difference between the hosts' views of the time.
 _CHECKED_REPORTS_MS = 30_000
 _ANSWER_MARGIN_S = 0.5
-# Consecutive checks that refute a report. A successor under the same id, of which the registry tells
-# later, refutes only the first.
+# Consecutive checks that refute a report. A successor under the same id passes only the first one,
+# until the registry tells of it.
 _REFUTING_CHECKS = 3
 # A request under which so many servers ended doesn't get the last server that its service has left.
 _ENDS_FOR_LAST_SERVER = 2
