--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -6,9 +6,11 @@
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.leaving import StayingBackends
+from verbenawind.gateway.limited_backends import LimitedBackends
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.routes import RouteTable, service_of
 from verbenawind.gateway.server_ends import EndEvidence, ServerEndMonitor
+from verbenawind.gateway.server_limits import NamedLimit, ServerLimits
 from verbenawind.gateway.streaming import StreamForwarder
 from verbenawind.gateway.types import (
     EngineTraits,
@@ -39,11 +41,14 @@
     "GuardedRequest",
     "IngressLimits",
     "Instance",
+    "LimitedBackends",
+    "NamedLimit",
     "Reply",
     "Route",
     "RouteKind",
     "RouteTable",
     "ServerEndMonitor",
+    "ServerLimits",
     "ServerState",
     "Service",
     "ServiceShare",
--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -68,6 +68,13 @@
     def leaving(self) -> bool:
         """Whether the server announces that it leaves; its work under way goes on."""
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """The request rate that the server names as its limit, None if it names none.
+
+        NaN if the response names one that cannot be read.
+        """
+
     @property
     def answered_by(self) -> str:
         """The id of the server that answered, empty if the response doesn't name it."""
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -15,6 +15,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.gateway.directory import Backend, Directory
+from verbenawind.gateway.server_limits import instance_incarnation
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.probe_ports import AddressProbe, ProbeResult
 
@@ -66,7 +67,7 @@
 
 def incarnation_of(backend: Backend) -> str:
     """Return the identifier of a server's process, which its successor does not share."""
-    return f"{backend.instance.instance_id}.{backend.instance.started_ms}"
+    return instance_incarnation(backend.instance)
 
 
 class _Watch:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -126,6 +126,20 @@
     kind: Annotated[str, Meta(description="Type of an entry or order.")] = ""
     known: Annotated[int, Meta(description="Number of known hosts.")] = 0
     kept_texts: Annotated[int, Meta(description="Number of partial texts found in the store.")] = 0
+    limit: Annotated[str, Meta(description="A limit as an answer gave it.")] = ""
+    limit_per_s: Annotated[
+        float | None,
+        Meta(description="Requests a second that a server takes from all hosts; null for any."),
+    ] = None
+    former_limit_per_s: Annotated[
+        float | None, Meta(description="The limit that held before; null for none.")
+    ] = None
+    sent_lately: Annotated[
+        int, Meta(description="Requests that this host sent the server in the last 4 s.")
+    ] = 0
+    source: Annotated[
+        str, Meta(description="Where this host learned of a limit: an answer or another host.")
+    ] = ""
     lag: Annotated[
         int,
         Meta(
@@ -333,6 +347,17 @@
         "A server announced in an answer that it leaves; it gets no new requests.",
         "server started_ms service outstanding",
     ),
+    "server_limit_changed": _event(
+        "A server names another limit for the requests that it takes, or none any more.",
+        "server service limit_per_s former_limit_per_s source sent_lately",
+    ),
+    "server_limit_unreadable": _event(
+        "An answer's limit is no non-negative number and is ignored.", "server limit"
+    ),
+    "limited_send": _event(
+        "A request is sent to a server that limits the requests that it takes.",
+        "request_id server limit_per_s age_s sent_lately",
+    ),
     "server_entry_unusable": _event(
         "A backend server's registration is malformed or unusable.", "server version"
     ),
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -36,8 +36,10 @@
     Forwarder,
     GatewayConfiguration,
     Instance,
+    LimitedBackends,
     RouteTable,
     ServerEndMonitor,
+    ServerLimits,
     StayingBackends,
     StreamForwarder,
 )
@@ -171,7 +173,9 @@
             location=settings.location,
             number=0,
         )
-        staying_backends = StayingBackends(backends, self.directory)
+        self.limits = ServerLimits(clock, store_ms)
+        limited_backends = LimitedBackends(backends, self.limits, store_ms)
+        staying_backends = StayingBackends(limited_backends, self.directory)
         self.server_ends = ServerEndMonitor(
             self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
         )
--- a/src/verbenawind/platform/backends.py
+++ b/src/verbenawind/platform/backends.py
@@ -1,6 +1,7 @@
 """HTTP client for the platform's backend servers: requests, streams, load orders and reports."""
 
 import asyncio
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -17,6 +18,7 @@
     INSTANCE_HEADER,
     LAST_EVENT_HEADER,
     LEAVING_HEADER,
+    LIMIT_HEADER,
     NOT_RUN_HEADER,
     SIGNATURE_HEADER,
     VERSION_HEADER,
@@ -85,6 +87,11 @@
         """Whether the server announces that it leaves."""
         return _is_leaving(self._response)
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """The request rate that the server names as its limit, None if it names none."""
+        return _limit_per_s(self._response)
+
     @property
     def answered_by(self) -> str:
         """The id of the server that answered, empty if the response doesn't name it."""
@@ -232,6 +239,7 @@
             answer=_ANSWER_BY_STATUS.get(response.status, OrderAnswer.REFUSED),
             detail=str(response.status),
             leaving=_is_leaving(response),
+            limit_per_s=_limit_per_s(response),
         )
 
     async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
@@ -263,6 +271,7 @@
             running=wire.num_running,
             waiting=wire.num_waiting,
             leaving=_is_leaving(response),
+            limit_per_s=_limit_per_s(response),
         )
 
 
@@ -270,6 +279,17 @@
     return (response.header(LEAVING_HEADER) or "").strip() == "1"
 
 
+def _limit_per_s(response: Http1Response) -> float | None:
+    """Return the limit that a response names, NaN for one that is no decimal number."""
+    value = response.header(LIMIT_HEADER)
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
+
+
 _ANSWER_BY_STATUS = {
     200: OrderAnswer.HOLDS,
     202: OrderAnswer.ACCEPTED,
--- a/src/verbenawind/platform/names.py
+++ b/src/verbenawind/platform/names.py
@@ -8,6 +8,7 @@
     "INSTANCE_HEADER",
     "LAST_EVENT_HEADER",
     "LEAVING_HEADER",
+    "LIMIT_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_TABLE",
     "SERVERS_TABLE",
@@ -27,6 +28,8 @@
 LAST_EVENT_HEADER = "Last-Event-Id"
 # The value 1 in any response of a server that will end soon.
 LEAVING_HEADER = "Server-Leaving"
+# The requests a second that a server in need takes from all hosts together.
+LIMIT_HEADER = "Server-Limit"
 NOT_RUN_HEADER = "X-Verbenawind-Not-Executed"
 SIGNATURE_HEADER = "X-Verbenawind-Server-Stamp"
 # Holds a single version, despite the plural.
--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -34,9 +34,10 @@
     ``loses_responses`` runs requests and loses the responses; ``unsigned`` responses lack the
     signature; requests with a body in ``crash_bodies`` end the process ``crash_after_s`` after they
     began to run, with ``crashes_silently`` without breaking its connections; a ``leaving`` engine
-    says so in every answer.
+    says so in every answer, and one with a ``limit_per_s`` names it.
 
     Attributes:
+        arrivals_s: Times at which requests, orders and report calls arrived, refused ones too.
         crash_starts: The entries of ``started`` whose requests ended the process.
         crashed_at_s: Times at which the process has ended.
         on_crash: Called after each of these ends.
@@ -68,6 +69,8 @@
         self.crash_after_s = 0.0
         self.crashes_silently = False
         self.leaving = False
+        self.limit_per_s: float | None = None
+        self.arrivals_s: list[float] = []
         self.crashed_at_s: list[float] = []
         self.crash_starts: list[tuple[float, str, int | None]] = []
         self.on_crash: Callable[[], None] | None = None
@@ -120,6 +123,7 @@
         self._process_number = engine.crashes
         self._running = status == _OK and not refused
         self.leaving = engine.leaving
+        self.limit_per_s = engine.limit_per_s
         self.answered_by = engine.instance.instance_id
         self._body = [attempt.request.body] if self._running else []
 
@@ -212,6 +216,7 @@
         request_id = attempt.request.request_id
         if engine.down:
             raise BackendServerUnreachable(f"engine {instance.instance_id} is down")
+        engine.arrivals_s.append(asyncio.get_running_loop().time())
         await _wait_until(lambda: not engine.unresponsive)
         model = _requested_model(attempt)
         if engine.loading:
@@ -249,23 +254,35 @@
         engine = self.engines[instance.instance_id]
         if engine.down:
             return OrderReply(answer=OrderAnswer.UNREACHABLE, detail="down")
+        engine.arrivals_s.append(asyncio.get_running_loop().time())
         if order.expected_orders not in (None, len(engine.orders)):
             return OrderReply(answer=OrderAnswer.BUSY, detail="order count differs")
         if engine.loading:
-            return OrderReply(answer=OrderAnswer.BUSY, detail="loading", leaving=engine.leaving)
+            return OrderReply(
+                answer=OrderAnswer.BUSY,
+                detail="loading",
+                leaving=engine.leaving,
+                limit_per_s=engine.limit_per_s,
+            )
         if engine.versions.get(order.model, 0) >= order.version:
             return OrderReply(answer=OrderAnswer.HOLDS, detail="version already loaded")
         loop = asyncio.get_running_loop()
         engine.orders.append((loop.time(), order.fencing_number, order))
         engine.loading = True
         loop.call_later(engine.load_s, self._finish_loading, engine, order)
-        return OrderReply(answer=OrderAnswer.ACCEPTED, detail="accepted", leaving=engine.leaving)
+        return OrderReply(
+            answer=OrderAnswer.ACCEPTED,
+            detail="accepted",
+            leaving=engine.leaving,
+            limit_per_s=engine.limit_per_s,
+        )
 
     async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
         """Return the status of an engine, or None if it is down."""
         engine = self.engines[instance.instance_id]
         if engine.down:
             return None
+        engine.arrivals_s.append(asyncio.get_running_loop().time())
         return EngineReport(
             versions=dict(engine.versions),
             changing=engine.loading,
@@ -273,6 +290,7 @@
             running=engine.running,
             waiting=0,
             leaving=engine.leaving,
+            limit_per_s=engine.limit_per_s,
         )
 
     @staticmethod
--- a/src/verbenawind/weights/load_scheduler.py
+++ b/src/verbenawind/weights/load_scheduler.py
@@ -45,7 +45,8 @@
 class EngineReport(Value, frozen=True, kw_only=True):
     """An engine's report about itself, which lags by some hundred milliseconds.
 
-    ``leaving`` is set if the engine announced with it that it leaves.
+    ``leaving`` is set if the engine announced with it that it leaves, ``limit_per_s`` is the rate
+    that it named as its limit.
     """
 
     versions: dict[str, int]
@@ -54,6 +55,7 @@
     running: int
     waiting: int
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class OrderPort(Protocol):
--- a/src/verbenawind/weights/rolling.py
+++ b/src/verbenawind/weights/rolling.py
@@ -67,12 +67,14 @@
 class OrderReply(Value, frozen=True, kw_only=True):
     """An engine's answer to an order, with a detail for the log.
 
-    ``leaving`` is set if the engine announced in it that it leaves.
+    ``leaving`` is set if the engine announced in it that it leaves; ``limit_per_s`` is the request
+    rate that it named as its limit.
     """
 
     answer: OrderAnswer
     detail: str
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class EngineLoadState(Value, frozen=True, kw_only=True):
