Keep to the limits that servers name, all hosts together

Cause: no host read Server-Limit; every server got what load balancing sent it. Ruled out by the reproduction: hedges and refused sends as the cause (requests that are sent once exceed the limit as well).

Change: a limited server's turns are slots of a schedule in the store, a row per process in a partition of its own, which hosts reserve by comparing its version. So the sum over hosts keeps to the limit by construction. All sends pass LimitedBackends, which lets none without a permit through: first sends, retries, hedges (left to other servers), streams, items, probes of weights, scoring calls; LimitedOrders counts orders and reports. Callers reserve ahead as long as their time allows, other work takes slots that are due. What gets no slot is refused at once, not run, with a time out of the schedule. Without the store each host uses its part of a quarter of the limit.

--- a/src/verbenawind/batches/engine_selection.py
+++ b/src/verbenawind/batches/engine_selection.py
@@ -1,5 +1,6 @@
 """Selects engines for items and decides when a run moves to a faster engine."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 
 from verbenawind.batches.ordering import EngineChoice, EngineState, choose_engine
@@ -7,7 +8,7 @@
 from verbenawind.batches.paces import EnginePaces, RunPace
 from verbenawind.batches.types import JobRecord
 from verbenawind.clock import Clock
-from verbenawind.gateway import Backend, Directory
+from verbenawind.gateway import Allowances, Backend, Directory, Permit
 
 __all__ = ["EngineSelector"]
 
@@ -28,10 +29,12 @@
         newest_version: Returns the newest published version of a model.
         current_engines: Returns the engines of a service that are kept up to date with a model.
         loads_soon: Returns whether an engine is about to load newer weights of a model.
+        allowances: Gives items their turns at engines that limit them.
         clock: Time source.
     """
 
     __slots__ = (
+        "_allowances",
         "_clock",
         "_current_engines",
         "_directory",
@@ -49,8 +52,10 @@
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
         loads_soon: Callable[[str, str], bool],
+        allowances: Allowances,
         clock: Clock,
     ) -> None:
+        self._allowances = allowances
         self._directory = directory
         self._newest_version = newest_version
         self._current_engines = current_engines
@@ -86,9 +91,25 @@
         return compatible or engines
 
     def choose(
-        self, engines: Mapping[str, Backend], service: str, record: JobRecord, work: ItemWork
+        self,
+        engines: Mapping[str, Backend],
+        service: str,
+        record: JobRecord,
+        work: ItemWork,
+        *,
+        waiting: int,
     ) -> EngineChoice | None:
-        """Return the engine that should run an item, or None if none has a free slot."""
+        """Return the engine that should run an item, or None if none has a free slot.
+
+        Without a choice, turns are reserved at the engines that limit the requests that they take.
+
+        Args:
+            engines: The engines that may run the item.
+            service: Their service.
+            record: The item's job.
+            work: The item.
+            waiting: Number of items that wait for an engine.
+        """
         now_s = self._clock.monotonic_s()
         model = record.model
         current = self._current_engines(model, service) if model else frozenset()
@@ -100,11 +121,13 @@
                 pace_s=self.paces.pace_s(name),
                 version=engine.versions.get(model, 0) if model else 0,
                 suspected=engine.suspected,
+                limited=self._allowances.is_limited(engine.instance),
                 share=engine.instance.slots
                 / _models_per_engine(engine, len(current), len(engines)),
             )
             for name, engine in engines.items()
             if self._refused_until_s.get(name, 0.0) <= now_s
+            and self._allowances.available(engine.instance)
         ]
         probes = [
             state.instance_id
@@ -119,12 +142,34 @@
             excluded=work.excluded if self._others_have_weights(engines, record, work) else (),
             probes=probes,
         )
+        if choice is None:
+            self._request_turns(engines, record, work, waiting)
         if choice is not None and choice.probing:
             self._probed_at_s[choice.instance_id, model] = now_s
         if choice is not None and self._recently_refused(choice.instance_id):
             self._refused_until_s[choice.instance_id] = now_s + _REFUSAL_BACKOFF_S
         return choice
 
+    def take_permit(self, engine: Backend) -> Permit | None:
+        """Return the reserved turn at a chosen engine, None for an unlimited one."""
+        return self._allowances.take(engine.instance)
+
+    def _request_turns(
+        self, engines: Mapping[str, Backend], record: JobRecord, work: ItemWork, waiting: int
+    ) -> None:
+        """Reserve turns at the limited engines that could run an item."""
+        limited = [
+            engine
+            for name, engine in engines.items()
+            if self._allowances.is_limited(engine.instance)
+            and not self._allowances.available(engine.instance)
+            and engine.outstanding < engine.instance.slots
+            and name not in work.excluded
+            and (not record.model or engine.versions.get(record.model, 0) >= record.min_version)
+        ]
+        for engine in limited:
+            self._allowances.request(engine.instance, math.ceil(waiting / len(limited)))
+
     def _others_have_weights(
         self, engines: Mapping[str, Backend], record: JobRecord, work: ItemWork
     ) -> bool:
@@ -171,6 +216,9 @@
             return False
         if engine.outstanding >= engine.instance.slots:
             return False
+        if self._allowances.is_limited(engine.instance):
+            # A move would use a turn that a waiting item could have.
+            return False
         if not record.model:
             return True
         has_weights = engine.versions.get(record.model, 0) >= record.min_version
--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -8,8 +8,15 @@
 from verbenawind.batches.paces import EnginePaces, RunPace
 from verbenawind.batches.types import BatchItem
 from verbenawind.clock import Clock
-from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
-from verbenawind.gateway import Attempt, Backend, BackendPort, BackendResponse, CallerRequest
+from verbenawind.errors import BackendServerFailed, BackendServerUnreachable, LimitReached
+from verbenawind.gateway import (
+    Attempt,
+    Backend,
+    BackendPort,
+    BackendResponse,
+    CallerRequest,
+    Permit,
+)
 from verbenawind.kernel.messages import Value
 
 __all__ = ["PartialText", "RunEnd", "RunLimits", "RunOutcome", "RunnerCounts", "run_item"]
@@ -25,6 +32,7 @@
 
     COMPLETE = "whole"
     REFUSED = "refused"
+    LIMITED = "limited"
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
     STALLED = "stalled"
@@ -132,6 +140,7 @@
     paces: EnginePaces,
     should_move: Callable[[RunPace], bool],
     on_accepted: Callable[[], None],
+    permit: Permit | None = None,
 ) -> RunOutcome:
     """Run an item until it is complete or has to continue on another engine.
 
@@ -147,6 +156,7 @@
         should_move: Returns whether another engine would finish the item sooner; called each time
             events have arrived.
         on_accepted: Called when the engine has accepted the item.
+        permit: The reserved turn at an engine that limits the requests that it takes.
     """
     now_s = clock.monotonic_s()
     request = CallerRequest(
@@ -164,6 +174,7 @@
         remaining_s=limits.remaining_s,
         resume_after=partial.last_event,
         expect_version=limits.expect_version,
+        permit=permit,
     )
     response: BackendResponse | None = None
     try:
@@ -176,6 +187,8 @@
         return await _read_events(response, partial, backend, limits, clock, paces, should_move)
     except TimeoutError:
         return RunOutcome(end=RunEnd.STALLED, detail=f"no response within {limits.first_event_s} s")
+    except LimitReached as error:
+        return RunOutcome(end=RunEnd.LIMITED, detail=error.message)
     except BackendServerUnreachable as error:
         return RunOutcome(end=RunEnd.UNREACHABLE, detail=error.message)
     except BackendServerFailed as error:
--- a/src/verbenawind/batches/ordering.py
+++ b/src/verbenawind/batches/ordering.py
@@ -70,7 +70,8 @@
     """Load and speed of an engine, as input to the choice.
 
     ``pace_s`` is the time per event, 0 if unknown. ``version`` is the weight version of the job's
-    model. ``share`` is this daemon's share of the slots where other daemons use the engine too.
+    model. A ``limited`` engine limits the requests that it takes. ``share`` is this daemon's share
+    of the slots where other daemons use the engine too.
     """
 
     instance_id: str
@@ -79,6 +80,7 @@
     pace_s: float
     version: int
     suspected: bool = False
+    limited: bool = False
     share: float = math.inf
 
 
@@ -116,6 +118,7 @@
     ]
     eligible = [engine for engine in available if engine.version >= min_version]
     healthy = [engine for engine in eligible if not engine.suspected] or eligible
+    healthy = [engine for engine in healthy if not engine.limited] or healthy
     if not healthy:
         candidates = [engine for engine in available if engine.instance_id in probes]
         if not candidates:
--- a/src/verbenawind/batches/outcomes.py
+++ b/src/verbenawind/batches/outcomes.py
@@ -77,6 +77,8 @@
                     # Running on the slow engine is better than waiting.
                     work.excluded = set()
                 work.not_before_s = now_s
+            case RunEnd.LIMITED:
+                work.not_before_s = now_s + _RETRY_S
             case RunEnd.SLOW:
                 work.moves += 1
                 work.excluded = {name}
--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -25,9 +25,11 @@
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.gateway import (
+    Allowances,
     Backend,
     BackendPort,
     Directory,
+    Permit,
     Route,
     RouteTable,
     service_of,
@@ -62,6 +64,7 @@
         newest_version: Returns the newest published version of a model.
         current_engines: Returns the engines of a service that are kept up to date with a model.
         loads_soon: Returns whether an engine is about to load newer weights of a model.
+        allowances: Gives items their turns at engines that limit them.
         store_ms: Returns the store's time.
         timings: Records durations for the metrics.
         clock: Time source.
@@ -80,6 +83,7 @@
         newest_version: Callable[[str], int],
         current_engines: Callable[[str, str], frozenset[str]],
         loads_soon: Callable[[str, str], bool],
+        allowances: Allowances,
         store_ms: Callable[[], int],
         timings: Timings,
         clock: Clock,
@@ -99,7 +103,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self._engines = EngineSelector(
-            directory, newest_version, current_engines, loads_soon, clock
+            directory, newest_version, current_engines, loads_soon, allowances, clock
         )
         self._text_writer = PartialTextWriter(job_store, clock)
         self._job_loader = JobLoader(job_store, clock)
@@ -121,6 +125,7 @@
         self._log = structlog.get_logger("batches")
         job_registry.on_change(self._job_changed)
         directory.on_change(self._wake.set)
+        allowances.on_available(self._wake.set)
 
     @property
     def results_listed(self) -> int:
@@ -285,14 +290,15 @@
             if (record.model, record.min_version) in models_without_slots and not work.excluded:
                 continue
             takes_any_engine = not work.excluded and not work.partial.versions
-            if not self._start(table, job, work, now_s) and takes_any_engine:
+            started = self._start(table, job, work, len(candidates))
+            if not started and takes_any_engine:
                 models_without_slots.add((record.model, record.min_version))
 
     def _due_ms(self, job: OwnedJob, table: RouteTable) -> float:
         route = table.match(job.submission.host, job.submission.path)
         return job.stored.record.submitted_ms + (route.result_deadline_s * 1000 if route else 0.0)
 
-    def _start(self, table: RouteTable, job: OwnedJob, work: ItemWork, now_s: float) -> bool:
+    def _start(self, table: RouteTable, job: OwnedJob, work: ItemWork, waiting: int) -> bool:
         """Start or terminate an item, or return False if no engine has a free slot for it."""
         record = job.stored.record
         route = table.match(job.submission.host, work.item.path.partition("?")[0])
@@ -306,12 +312,13 @@
         engines = self._engines.engines(
             service, record.model, work, single_version=route.single_version
         )
-        choice = self._engines.choose(engines, service, record, work)
+        choice = self._engines.choose(engines, service, record, work, waiting=waiting)
         if choice is None:
             return False
         backend = engines[choice.instance_id]
+        permit = self._engines.take_permit(backend)
         work.task = self._create_task(
-            self._run_item(job, work, route, backend, choice, remaining_s, list(engines))
+            self._run_item(job, work, route, backend, choice, remaining_s, list(engines), permit)
         )
         if not work.was_started:
             work.was_started = True
@@ -363,6 +370,7 @@
         choice: EngineChoice,
         remaining_s: float,
         engines: Sequence[str],
+        permit: Permit | None,
     ) -> None:
         record = job.stored.record
         started_s = self._clock.monotonic_s()
@@ -396,6 +404,7 @@
                     and self._engines.should_move(pace, others, record, len(work.partial.events))
                 ),
                 on_accepted=lambda: self._engine_accepted(backend),
+                permit=permit,
             )
         finally:
             work.task = None
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -22,6 +22,7 @@
     "IdempotencyKeyReused",
     "InvalidRequest",
     "LeaseLost",
+    "LimitReached",
     "NoBackendServer",
     "Outcome",
     "OutcomeUnknown",
@@ -204,6 +205,12 @@
     code = "admission_refused"
 
 
+class LimitReached(VerbenawindError):
+    """Raised when a backend server takes no more requests in time; nothing was sent to it."""
+
+    code = "limit_reached"
+
+
 class BackendServerUnreachable(VerbenawindError):
     """Raised by an adapter when no part of the request was sent to the backend server."""
 
@@ -289,13 +296,20 @@
     Args:
         message: The rows whose versions differed.
         versions: The current version of each checked row by key, 0 if the row is absent.
+        values: The current values of the checked rows that exist, by key.
     """
 
     code = "row_conflict"
 
-    def __init__(self, message: str, versions: Mapping[str, int]) -> None:
+    def __init__(
+        self,
+        message: str,
+        versions: Mapping[str, int],
+        values: Mapping[str, bytes | None] | None = None,
+    ) -> None:
         super().__init__(message)
         self.versions = dict(versions)
+        self.values = dict(values or {})
 
 
 class HistoryLost(VerbenawindError):
--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,16 +1,18 @@
 """Routes requests by host and path to registered backend servers, without reading the bodies."""
 
+from verbenawind.gateway.allowances import LIMITS_TABLE, Allowances
 from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.leaving import StayingBackends
+from verbenawind.gateway.limit_records import LIMIT_KEY_PREFIX, LimitRecords
 from verbenawind.gateway.limited_backends import LimitedBackends
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.routes import RouteTable, service_of
 from verbenawind.gateway.server_ends import EndEvidence, ServerEndMonitor
-from verbenawind.gateway.server_limits import NamedLimit, ServerLimits
+from verbenawind.gateway.server_limits import NamedLimit, Permit, ServerLimits
 from verbenawind.gateway.streaming import StreamForwarder
 from verbenawind.gateway.types import (
     EngineTraits,
@@ -25,6 +27,9 @@
 
 __all__ = [
     "CRASH_KEY_PREFIX",
+    "LIMITS_TABLE",
+    "LIMIT_KEY_PREFIX",
+    "Allowances",
     "Attempt",
     "Backend",
     "BackendPort",
@@ -41,8 +46,10 @@
     "GuardedRequest",
     "IngressLimits",
     "Instance",
+    "LimitRecords",
     "LimitedBackends",
     "NamedLimit",
+    "Permit",
     "Reply",
     "Route",
     "RouteKind",
--- a/src/verbenawind/gateway/balance.py
+++ b/src/verbenawind/gateway/balance.py
@@ -1,9 +1,10 @@
 """Load balancing: selects the backend server with the lowest expected response time."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from verbenawind.errors import NoBackendServer
 from verbenawind.gateway.directory import Backend
+from verbenawind.gateway.types import Instance
 from verbenawind.kernel.messages import Location, Value
 
 __all__ = ["Choice", "choose", "no_server_error"]
@@ -32,7 +33,10 @@
 
 
 def choose(
-    backends: Sequence[Backend], location: Location, excluded: Collection[str]
+    backends: Sequence[Backend],
+    location: Location,
+    excluded: Collection[str],
+    delay_s: Callable[[Instance], float],
 ) -> tuple[Backend, Choice] | None:
     """Return the server with the lowest expected response time, suspected servers last.
 
@@ -40,6 +44,7 @@
         backends: The servers of the service.
         location: Where this daemon runs.
         excluded: Servers that the request has already been sent to.
+        delay_s: Returns by how much a server's own limit delays a request.
     """
     candidates = [backend for backend in backends if backend.instance.instance_id not in excluded]
     if not candidates:
@@ -48,13 +53,13 @@
         candidates,
         key=lambda backend: (
             backend.suspected,
-            _expected_s(backend, location),
+            _expected_s(backend, location) + delay_s(backend.instance),
             backend.instance.instance_id,
         ),
     )
     return best, Choice(
         instance_id=best.instance.instance_id,
-        expected_s=round(_expected_s(best, location), 4),
+        expected_s=round(_expected_s(best, location) + delay_s(best.instance), 4),
         outstanding=best.outstanding,
         candidates=len(candidates),
         suspected=best.suspected,
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -9,14 +9,17 @@
     AdmissionRefused,
     BackendServerFailed,
     BackendServerUnreachable,
+    LimitReached,
     VerbenawindError,
 )
-from verbenawind.gateway.balance import choose
+from verbenawind.gateway.allowances import Allowances
+from verbenawind.gateway.balance import Choice, choose
 from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
 from verbenawind.gateway.send_history import SendHistory
+from verbenawind.gateway.server_limits import Permit
 from verbenawind.gateway.types import Route, RouteKind
 from verbenawind.kernel.messages import Location
 
@@ -123,9 +126,19 @@
         location: Where this daemon runs.
         clock: Time source.
         guard: Tracks requests under which servers end.
+        allowances: Gives requests their turns at servers that limit them.
     """
 
-    __slots__ = ("_clock", "_directory", "_guard", "_hedge_tokens", "_location", "_log", "_port")
+    __slots__ = (
+        "_allowances",
+        "_clock",
+        "_directory",
+        "_guard",
+        "_hedge_tokens",
+        "_location",
+        "_log",
+        "_port",
+    )
 
     def __init__(
         self,
@@ -134,8 +147,10 @@
         location: Location,
         clock: Clock,
         guard: CrashGuard,
+        allowances: Allowances,
     ) -> None:
         self._guard = guard
+        self._allowances = allowances
         self._directory = directory
         self._port = port
         self._location = location
@@ -163,7 +178,7 @@
                 if not sends:
                     if exchange.history.sends:
                         await guarded.admit_again(exchange.history.outcome)
-                    if (task := self._start_send(exchange)) is not None:
+                    if (task := await self._start_next_send(exchange)) is not None:
                         sends.add(task)
                 if not sends:
                     return self._finish_unanswered(exchange)
@@ -229,23 +244,68 @@
         if not exchange.repeatable or exchange.guarded.suspected:
             return None
         if exchange.hedge_checks == 1 and self._hedge_tokens >= 1.0:
-            self._hedge_tokens -= 1.0
-            return self._start_send(exchange)
-        chosen = choose(self._directory.backends(exchange.service), self._location, exchange.tried)
+            chosen = self._choose_unlimited(exchange)
+            if chosen is not None:
+                self._hedge_tokens -= 1.0
+                return self._start_send(exchange, *chosen, permit=None)
+            return None
+        chosen = self._choose_unlimited(exchange)
         waited_s = self._clock.monotonic_s() - exchange.request.arrived_s
         if chosen is None or chosen[1].expected_s > _HEDGE_WAIT_FRACTION * waited_s:
             return None
-        return self._start_send(exchange)
+        return self._start_send(exchange, *chosen, permit=None)
+
+    def _choose_unlimited(self, exchange: _Exchange) -> tuple[Backend, Choice] | None:
+        """Choose a server for a hedge; the allowances of limited ones are left to first sends."""
+        if not self._may_send(exchange):
+            return None
+        backends = [
+            backend
+            for backend in self._directory.backends(exchange.service)
+            if not self._allowances.is_limited(backend.instance)
+        ]
+        return choose(backends, self._location, exchange.tried, self._allowances.delay_s)
+
+    def _may_send(self, exchange: _Exchange) -> bool:
+        remaining_s = exchange.request.deadline_s - self._clock.monotonic_s()
+        return exchange.history.may_send and remaining_s >= _MIN_SEND_S
+
+    async def _start_next_send(self, exchange: _Exchange) -> asyncio.Task[Reply] | None:
+        """Send the request to the best server, waiting for its turn if the server is limited."""
+        without_turn: set[str] = set()
+        while self._may_send(exchange):
+            backends = self._directory.backends(exchange.service)
+            excluded = exchange.tried | without_turn
+            chosen = choose(backends, self._location, excluded, self._allowances.delay_s)
+            if chosen is None:
+                break
+            backend, choice = chosen
+            try:
+                permit = await self._allowances.acquire(
+                    backend.instance,
+                    exchange.request.deadline_s - max(backend.latency_s, _MIN_SEND_S),
+                    urgent=not exchange.request.owed,
+                )
+            except LimitReached:
+                without_turn.add(choice.instance_id)
+                continue
+            if not self._may_send(exchange):
+                break
+            return self._start_send(exchange, backend, choice, permit=permit)
+        if without_turn:
+            limited = [
+                backend.instance
+                for backend in self._directory.backends(exchange.service)
+                if backend.instance.instance_id in without_turn
+            ]
+            exchange.history.limited(self._allowances.refused(limited, exchange.request.request_id))
+        return None
 
-    def _start_send(self, exchange: _Exchange) -> asyncio.Task[Reply] | None:
+    def _start_send(
+        self, exchange: _Exchange, backend: Backend, choice: Choice, *, permit: Permit | None
+    ) -> asyncio.Task[Reply]:
         request = exchange.request
         remaining_s = request.deadline_s - self._clock.monotonic_s()
-        if not exchange.history.may_send or remaining_s < _MIN_SEND_S:
-            return None
-        chosen = choose(self._directory.backends(exchange.service), self._location, exchange.tried)
-        if chosen is None:
-            return None
-        backend, choice = chosen
         exchange.tried.add(choice.instance_id)
         exchange.history.sent()
         self._log.info(
@@ -260,12 +320,16 @@
             candidates=choice.candidates,
             suspected=choice.suspected,
         )
-        task = asyncio.get_running_loop().create_task(self._send(exchange, backend, remaining_s))
+        task = asyncio.get_running_loop().create_task(
+            self._send(exchange, backend, remaining_s, permit)
+        )
         backend.begin()
         task.add_done_callback(lambda _: backend.end())
         return task
 
-    async def _send(self, exchange: _Exchange, backend: Backend, remaining_s: float) -> Reply:
+    async def _send(
+        self, exchange: _Exchange, backend: Backend, remaining_s: float, permit: Permit | None
+    ) -> Reply:
         started_s = self._clock.monotonic_s()
         sent_ms = exchange.guarded.now_ms()
         attempt = Attempt(
@@ -273,6 +337,7 @@
             remaining_s=remaining_s,
             resume_after=exchange.request.resume_after,
             fresh_connection=not exchange.repeatable,
+            permit=permit,
         )
         response: BackendResponse | None = None
         try:
@@ -280,6 +345,10 @@
             check_response(response, backend.instance.instance_id)
             reply = await _read_buffered(response)
             response = reply.rest
+        except LimitReached as error:
+            exchange.history.refused()
+            self._log_failure(exchange, backend, error)
+            raise
         except (AdmissionRefused, BackendServerUnreachable) as error:
             exchange.history.refused()
             backend.failed()
--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from verbenawind.gateway.events import StreamEvent
+from verbenawind.gateway.server_limits import Permit
 from verbenawind.gateway.types import Instance
 from verbenawind.kernel.messages import Value
 
@@ -36,7 +37,8 @@
     """One attempt to send a request to a server.
 
     ``resume_after`` is the id of the last event already received. ``expect_version`` is the only
-    weight version that the request may start with.
+    weight version that the request may start with. ``permit`` is the reserved turn at a server that
+    limits the requests that it takes.
     """
 
     request: CallerRequest
@@ -44,6 +46,7 @@
     resume_after: int | None = None
     expect_version: int | None = None
     fresh_connection: bool = False
+    permit: Permit | None = None
 
 
 class BackendResponse(Protocol):
--- a/src/verbenawind/gateway/send_history.py
+++ b/src/verbenawind/gateway/send_history.py
@@ -4,6 +4,7 @@
     AdmissionRefused,
     BackendServerFailed,
     DeadlineExceeded,
+    LimitReached,
     Outcome,
     VerbenawindError,
 )
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "_last_error",
+        "_limit_retry_after_s",
         "_max_runs",
         "_max_sends",
         "_repeatable",
@@ -55,6 +57,7 @@
         self._max_sends = max_sends
         self._repeatable = repeatable
         self._last_error: VerbenawindError | None = None
+        self._limit_retry_after_s: float | None = None
         self.sends = 0
         self.possible_runs = 0
 
@@ -85,6 +88,10 @@
         """Record that a send failed after its server may have run the request."""
         self._last_error = error
 
+    def limited(self, retry_after_s: float) -> None:
+        """Record that the servers left take no more requests in time, and when to return."""
+        self._limit_retry_after_s = retry_after_s
+
     def final_error(self, *, deadline_passed: bool) -> VerbenawindError:
         """Return the error for the caller, given that no send succeeded.
 
@@ -96,6 +103,11 @@
                 f"request {self._request_id} was not answered before its deadline",
                 outcome=self.outcome,
             )
+        if self._limit_retry_after_s is not None and self.outcome is Outcome.NOT_RUN:
+            return LimitReached(
+                f"the servers of service {self._service} take no more requests in time",
+                retry_after_s=self._limit_retry_after_s,
+            )
         if self.sends == 0:
             return no_server_error(self._service)
         if self.outcome is Outcome.NOT_RUN:
--- a/src/verbenawind/gateway/server_limits.py
+++ b/src/verbenawind/gateway/server_limits.py
@@ -14,7 +14,7 @@
 from verbenawind.gateway.types import Instance
 from verbenawind.kernel.messages import Value
 
-__all__ = ["LimitSource", "NamedLimit", "ServerLimits", "instance_incarnation"]
+__all__ = ["LimitSource", "NamedLimit", "Permit", "ServerLimits", "instance_incarnation"]
 
 # Sends are counted over this time.
 _WINDOW_S = 4.0
@@ -36,6 +36,14 @@
     return f"{instance.instance_id}.{instance.started_ms}"
 
 
+class Permit(Value, frozen=True, kw_only=True):
+    """The right to send one request to a limited server, between two monotonic times."""
+
+    incarnation: str
+    usable_at_s: float
+    use_by_s: float
+
+
 class NamedLimit(Value, frozen=True, kw_only=True):
     """What an incarnation last said of its limit; times are the store's.
 
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -10,13 +10,16 @@
     AdmissionRefused,
     BackendServerFailed,
     BackendServerUnreachable,
+    LimitReached,
 )
+from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.balance import choose
 from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
 from verbenawind.gateway.send_history import SendHistory
+from verbenawind.gateway.server_limits import Permit
 from verbenawind.gateway.types import Route
 from verbenawind.kernel.messages import Location
 
@@ -36,9 +39,10 @@
         location: Where this daemon runs.
         clock: Time source.
         guard: Tracks requests under which servers end.
+        allowances: Gives requests their turns at servers that limit them.
     """
 
-    __slots__ = ("_clock", "_directory", "_guard", "_location", "_log", "_port")
+    __slots__ = ("_allowances", "_clock", "_directory", "_guard", "_location", "_log", "_port")
 
     def __init__(
         self,
@@ -47,8 +51,10 @@
         location: Location,
         clock: Clock,
         guard: CrashGuard,
+        allowances: Allowances,
     ) -> None:
         self._guard = guard
+        self._allowances = allowances
         self._directory = directory
         self._port = port
         self._location = location
@@ -65,6 +71,7 @@
             VerbenawindError: The stream did not start, or broke and cannot be resumed.
         """
         tried: set[str] = set()
+        without_turn: set[str] = set()
         guarded = self._guard.open(request, service)
         await guarded.admit()
         first_response: BackendResponse | None = None
@@ -79,11 +86,21 @@
         while history.may_send:
             if history.sends:
                 await guarded.admit_again(history.outcome)
-            chosen = choose(self._directory.backends(service), self._location, tried)
+            backends = self._directory.backends(service)
+            excluded = tried | without_turn
+            chosen = choose(backends, self._location, excluded, self._allowances.delay_s)
             if chosen is None:
                 break
             backend, choice = chosen
+            try:
+                permit = await self._allowances.acquire(
+                    backend.instance, request.deadline_s, urgent=True
+                )
+            except LimitReached:
+                without_turn.add(choice.instance_id)
+                continue
             tried.add(choice.instance_id)
+            without_turn.clear()
             remaining_s = request.deadline_s - self._clock.monotonic_s()
             if remaining_s <= 0:
                 break
@@ -101,7 +118,7 @@
             backend.begin()
             response: BackendResponse | None = None
             try:
-                response = await self._open(backend, request, remaining_s, last_id)
+                response = await self._open(backend, request, remaining_s, last_id, permit)
                 if first_response is None:
                     first_response = response
                     yield response
@@ -120,6 +137,8 @@
                 guarded.answered()
                 backend.succeeded(0.0)
                 return
+            except LimitReached:
+                history.refused()
             except (AdmissionRefused, BackendServerUnreachable):
                 history.refused()
                 backend.failed()
@@ -144,17 +163,30 @@
                 if response is not None:
                     response.close()
         guarded.finished(history.outcome)
+        if without_turn:
+            limited = [
+                backend.instance
+                for backend in self._directory.backends(service)
+                if backend.instance.instance_id in without_turn
+            ]
+            history.limited(self._allowances.refused(limited, request.request_id))
         deadline_passed = self._clock.monotonic_s() >= request.deadline_s
         raise history.final_error(deadline_passed=deadline_passed)
 
     async def _open(
-        self, backend: Backend, request: CallerRequest, remaining_s: float, last_id: int | None
+        self,
+        backend: Backend,
+        request: CallerRequest,
+        remaining_s: float,
+        last_id: int | None,
+        permit: Permit | None,
     ) -> BackendResponse:
         attempt = Attempt(
             request=request,
             remaining_s=remaining_s,
             resume_after=last_id,
             fresh_connection=True,
+            permit=permit,
         )
         response = await self._port.send(backend.instance, attempt)
         check_response(response, backend.instance.instance_id)
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -134,6 +134,11 @@
     former_limit_per_s: Annotated[
         float | None, Meta(description="The limit that held before; null for none.")
     ] = None
+    share: Annotated[
+        float, Meta(description="Part of a server's turns that this host has had lately.")
+    ] = 0.0
+    servers: Annotated[int, Meta(description="Number of servers.")] = 0
+    free_in_s: Annotated[_Seconds, Meta(description="Least time until a turn is free.")] = 0.0
     sent_lately: Annotated[
         int, Meta(description="Requests that this host sent the server in the last 4 s.")
     ] = 0
@@ -356,7 +361,19 @@
     ),
     "limited_send": _event(
         "A request is sent to a server that limits the requests that it takes.",
-        "request_id server limit_per_s age_s sent_lately",
+        "request_id server limit_per_s age_s share sent_lately",
+    ),
+    "limit_refused": _event(
+        "A request got no turn in time at the servers that limit the requests that they take.",
+        "request_id service servers limit_per_s share free_in_s retry_after_s",
+    ),
+    "limit_uncoordinated": _event(
+        "The store takes no reservation of turns; this host uses its own share for a while.",
+        "server limit_per_s reason",
+    ),
+    "limit_row_unreadable": _event("A row on a server's limit is malformed.", "key error"),
+    "limit_row_not_written": _event(
+        "A row on a server's limit could not be written; it is retried.", "key reason"
     ),
     "server_entry_unusable": _event(
         "A backend server's registration is malformed or unusable.", "server version"
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -28,6 +28,8 @@
 from verbenawind.clock import Clock
 from verbenawind.gateway import (
     CRASH_KEY_PREFIX,
+    LIMIT_KEY_PREFIX,
+    Allowances,
     BackendPort,
     CrashGuard,
     CrashHistory,
@@ -37,6 +39,7 @@
     GatewayConfiguration,
     Instance,
     LimitedBackends,
+    LimitRecords,
     RouteTable,
     ServerEndMonitor,
     ServerLimits,
@@ -53,6 +56,7 @@
 from verbenawind.state.table_follower import FEED_PAUSE_S, FEED_WAIT_S, TableFollower
 from verbenawind.supervision import supervise
 from verbenawind.timings import Timings
+from verbenawind.weights.limited_orders import LimitedOrders
 from verbenawind.weights.load_scheduler import LoadScheduler, OrderPort
 
 __all__ = ["NamedVersion", "Node", "NodeSettings", "RegistryFormat"]
@@ -174,7 +178,27 @@
             number=0,
         )
         self.limits = ServerLimits(clock, store_ms)
-        limited_backends = LimitedBackends(backends, self.limits, store_ms)
+        self.allowances = Allowances(
+            self.limits,
+            store,
+            host=settings.host,
+            hosts=lambda: self.heartbeats.claimants([]),
+            clock=clock,
+            store_ms=store_ms,
+            rng=rng,
+        )
+        self.limit_records = LimitRecords(
+            self.limits,
+            self.allowances,
+            self.directory,
+            store,
+            HOSTS_TABLE,
+            is_assigned=self._is_sweeper_of,
+            clock=clock,
+            store_ms=store_ms,
+            rng=rng,
+        )
+        limited_backends = LimitedBackends(backends, self.limits, self.allowances, clock, store_ms)
         staying_backends = StayingBackends(limited_backends, self.directory)
         self.server_ends = ServerEndMonitor(
             self.directory, probe, clock, registry_age_s=self.servers_feed.age_s
@@ -197,7 +221,12 @@
             store_ms=store_ms,
         )
         self.forwarder = Forwarder(
-            self.directory, staying_backends, settings.location, clock, self.guard
+            self.directory,
+            staying_backends,
+            settings.location,
+            clock,
+            self.guard,
+            self.allowances,
         )
         self.job_registry = JobRegistry(clock)
         job_store = JobStore(store, settings.max_row_bytes)
@@ -216,6 +245,7 @@
             loads_soon=lambda model, instance_id: self.load_scheduler.loads_soon(
                 model, instance_id
             ),
+            allowances=self.allowances,
             store_ms=store_ms,
             timings=timings,
             clock=clock,
@@ -259,7 +289,7 @@
         )
         self.load_scheduler = LoadScheduler(
             self.directory,
-            orders,
+            LimitedOrders(orders, limited_backends, self.limits, clock),
             self.lease,
             configuration=lambda: self.routes.configuration if self.routes else None,
             newest=self.newest_versions,
@@ -269,7 +299,12 @@
         )
         self.job_registry.on_change(self._on_job_change)
         self.streams = StreamForwarder(
-            self.directory, staying_backends, settings.location, clock, self.guard
+            self.directory,
+            staying_backends,
+            settings.location,
+            clock,
+            self.guard,
+            self.allowances,
         )
 
     @property
@@ -298,6 +333,7 @@
             ("sweeper", self.sweeper.run),
             ("crash_records", self.crash_records.run),
             ("crash_guard", self.guard.run),
+            ("limit_records", self.limit_records.run),
             ("lease", self.lease.run),
             ("desk", self.load_scheduler.run),
         ):
@@ -392,6 +428,8 @@
             self.lease.apply_row(row)
         elif row.row_id.key.startswith(CRASH_KEY_PREFIX):
             self.crash_records.apply_row(row)
+        elif row.row_id.key.startswith(LIMIT_KEY_PREFIX):
+            self.limit_records.apply_row(row)
         else:
             self.heartbeats.apply_row(row)
 
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -145,7 +145,10 @@
             check.row_id.key: current[check.row_id].version if check.row_id in current else 0
             for check in transaction.checks
         }
-        raise RowConflict(f"row versions differ from the expected ones: {versions}", versions)
+        values = {row_id.key: row.value for row_id, row in current.items()}
+        raise RowConflict(
+            f"row versions differ from the expected ones: {versions}", versions, values
+        )
 
     async def rows(
         self, table: str, part: str, timeout_s: float, *, first: str = "", limit: int = 500
--- a/src/verbenawind/standins/row_store.py
+++ b/src/verbenawind/standins/row_store.py
@@ -107,7 +107,9 @@
         if any(versions[check.row_id] != check.version for check in transaction.checks):
             actual_versions = {row_id.key: version for row_id, version in versions.items()}
             raise RowConflict(
-                f"row versions differ from the expected ones: {actual_versions}", actual_versions
+                f"row versions differ from the expected ones: {actual_versions}",
+                actual_versions,
+                {row_id.key: row.value for row_id in versions if (row := self._rows.get(row_id))},
             )
         self._write(transaction.writes)
         self.commits += 1
--- a/tests/batches/test_engine_selection.py
+++ b/tests/batches/test_engine_selection.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from gateway.guards import create_allowances
 from node.fleet import MODEL, job
 from verbenawind.batches.engine_selection import EngineSelector
 from verbenawind.batches.item_run import PartialText, RunEnd, RunOutcome
@@ -63,6 +64,7 @@
             lambda _: 1,
             lambda _model, _service: frozenset(paces_s),
             lambda _model, name: name in self.loading_soon,
+            create_allowances(self.clock),
             self.clock,
         )
         for name, pace_s in paces_s.items():
@@ -76,7 +78,7 @@
     def choose(self, work: ItemWork) -> str | None:
         """Return the engine on which an item would start."""
         engines = self.selector.engines(SERVICE, MODEL, work, single_version=False)
-        choice = self.selector.choose(engines, SERVICE, RECORD, work)
+        choice = self.selector.choose(engines, SERVICE, RECORD, work, waiting=1)
         return choice.instance_id if choice else None
 
     def end(self, work: ItemWork, engine: str, end: RunEnd) -> None:
--- a/tests/gateway/guards.py
+++ b/tests/gateway/guards.py
@@ -1,9 +1,17 @@
-"""Creates crash guards for tests that need no platform."""
+"""Creates crash guards and allowances for tests that need no platform."""
 
 from random import Random
 
 from verbenawind.clock import Clock
-from verbenawind.gateway import CrashGuard, CrashHistory, CrashRecords, Directory, ServerEndMonitor
+from verbenawind.gateway import (
+    Allowances,
+    CrashGuard,
+    CrashHistory,
+    CrashRecords,
+    Directory,
+    ServerEndMonitor,
+    ServerLimits,
+)
 from verbenawind.kernel.probe_ports import ProbeResult
 from verbenawind.standins.row_store import MemoryRowStore
 
@@ -29,3 +37,17 @@
         clock=clock,
         store_ms=store.store_ms,
     )
+
+
+def create_allowances(clock: Clock, limits: ServerLimits | None = None) -> Allowances:
+    """Return the allowances of a host, by default for servers that name no limit."""
+    store = MemoryRowStore(Random(1))
+    return Allowances(
+        limits or ServerLimits(clock, store.store_ms),
+        store.view(),
+        host="host",
+        hosts=lambda: ["host"],
+        clock=clock,
+        store_ms=store.store_ms,
+        rng=Random(1),
+    )
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -21,7 +21,9 @@
         node = next(iter(fleet.members.values())).node
         self.directory = node.directory
         location = Location(zone="a", region="a")
-        self.forwarder = Forwarder(self.directory, fleet.engines, location, fleet.clock, node.guard)
+        self.forwarder = Forwarder(
+            self.directory, fleet.engines, location, fleet.clock, node.guard, node.allowances
+        )
 
     def engine(self, index: int) -> OpaqueEngine:
         """Return a server by its index."""
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gateway.guards import create_guard
+from gateway.guards import create_allowances, create_guard
 from verbenawind.clock import LoopClock
 from verbenawind.errors import (
     AdmissionRefused,
@@ -100,6 +100,7 @@
             )
         )
     guard = create_guard(directory, clock)
+    allowances = create_allowances(clock)
     now_s = clock.monotonic_s()
     request = CallerRequest(
         request_id="r",
@@ -113,11 +114,11 @@
     )
     with pytest.raises(VerbenawindError) as caught:
         if route.kind is RouteKind.STREAMING:
-            streams = StreamForwarder(directory, servers, HERE, clock, guard)
+            streams = StreamForwarder(directory, servers, HERE, clock, guard, allowances)
             async for _ in streams.forward(request, route, SERVICE):
                 raise AssertionError("no server answers")
         else:
-            forwarder = Forwarder(directory, servers, HERE, clock, guard)
+            forwarder = Forwarder(directory, servers, HERE, clock, guard, allowances)
             await forwarder.forward(request, route, SERVICE)
     return caught.value
 
