--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -29,6 +29,7 @@
     IdempotencyKeyReused,
     InvalidRequest,
     LeaseLost,
+    LimitReached,
     NoBackendServer,
     Outcome,
     OutcomeUnknown,
@@ -161,6 +162,7 @@
 
 
 @http_status.register(AdmissionRefused)
+@http_status.register(LimitReached)
 @http_status.register(BackendServerUnreachable)
 @http_status.register(Draining)
 @http_status.register(HistoryLost)
--- a/src/verbenawind/batches/engine_selection.py
+++ b/src/verbenawind/batches/engine_selection.py
@@ -143,7 +143,7 @@
             probes=probes,
         )
         if choice is None:
-            self._request_turns(engines, record, work, waiting)
+            self._request_turns(engines, record, work, waiting, current)
         if choice is not None and choice.probing:
             self._probed_at_s[choice.instance_id, model] = now_s
         if choice is not None and self._recently_refused(choice.instance_id):
@@ -155,9 +155,18 @@
         return self._allowances.take(engine.instance)
 
     def _request_turns(
-        self, engines: Mapping[str, Backend], record: JobRecord, work: ItemWork, waiting: int
+        self,
+        engines: Mapping[str, Backend],
+        record: JobRecord,
+        work: ItemWork,
+        waiting: int,
+        current: frozenset[str],
     ) -> None:
-        """Reserve turns at the limited engines that could run an item."""
+        """Reserve turns at the limited engines that could run an item.
+
+        Engines that are kept up to date may have loaded the weights without this host knowing.
+        """
+        may_be_loaded = self._newest_version(record.model) >= record.min_version
         limited = [
             engine
             for name, engine in engines.items()
@@ -165,7 +174,11 @@
             and not self._allowances.available(engine.instance)
             and engine.outstanding < engine.instance.slots
             and name not in work.excluded
-            and (not record.model or engine.versions.get(record.model, 0) >= record.min_version)
+            and (
+                not record.model
+                or engine.versions.get(record.model, 0) >= record.min_version
+                or (may_be_loaded and name in current)
+            )
         ]
         for engine in limited:
             self._allowances.request(engine.instance, math.ceil(waiting / len(limited)))
--- a/src/verbenawind/gateway/allowances.py
+++ b/src/verbenawind/gateway/allowances.py
@@ -28,13 +28,13 @@
 
 LIMITS_TABLE = "limits"
 _SCHEDULE_KEY = "schedule"
-_RESERVE_TIMEOUT_S = 0.5
+_RESERVE_TIMEOUT_S = 0.4
+# The same while the last call has failed: requests wait for it.
+_RETRY_TIMEOUT_S = 0.2
 # A slot must be used within this time.
 _SLOT_VALID_S = 0.5
 # After a failed call to the store a host uses its own slots for this long.
 _UNCOORDINATED_S = 1.0
-# Work without a waiting caller reserves slots that are due, at most those of this time at once.
-_BATCH_S = 0.25
 _MIN_PAUSE_S = 0.05
 _MAX_PAUSE_S = 0.2
 _CONFLICT_PAUSE_S = 0.01
@@ -44,6 +44,13 @@
 # and is asked whether its limit still holds.
 _LIMITED_PENALTY_S = 0.1
 _SILENT_S = 2.0
+# More requests than this that wait for longer than a burst lasts are a standing queue. It ends
+# once no request has been refused for it for some time.
+_QUEUED_REQUESTS = 2
+_BURST_S = 1.0
+_SHED_S = 2.0
+# A request that gets no slot tells the other hosts that callers wait, unless one has lately.
+_TELL_CALLERS_MS = 1000
 _SHARE_WEIGHT = 0.2
 _MIN_SHARE = 0.01
 _MAX_RETRY_S = 30.0
@@ -73,11 +80,12 @@
     __slots__ = (
         "instance",
         "own_slot_ms",
+        "queued_since_s",
         "schedule",
         "share",
+        "shed_until_s",
         "slots",
         "task",
-        "uncoordinated_until_s",
         "version",
         "waiters",
         "wake",
@@ -96,7 +104,9 @@
         # This host's part of the slots that all hosts have used lately.
         self.share = 1.0
         self.own_slot_ms = 0.0
-        self.uncoordinated_until_s = float("-inf")
+        # Since when requests have been waiting for turns, and until when the queue is kept short.
+        self.queued_since_s: float | None = None
+        self.shed_until_s = float("-inf")
         self.task: asyncio.Task[None] | None = None
         self.wake = asyncio.Event()
 
@@ -125,7 +135,9 @@
         "_returns_at_s",
         "_rng",
         "_store",
+        "_store_failed",
         "_store_ms",
+        "_uncoordinated_until_s",
         "refusals",
     )
 
@@ -150,6 +162,8 @@
         self._pools: dict[str, _Pool] = {}
         self._listeners: list[Callable[[], None]] = []
         self._returns_at_s: dict[str, float] = {}
+        self._store_failed = False
+        self._uncoordinated_until_s = float("-inf")
         self._log = structlog.get_logger("limits")
         self.refusals = 0
 
@@ -176,7 +190,14 @@
         penalty_s = 0.0 if self._limits.quiet_s(instance) > _SILENT_S else _LIMITED_PENALTY_S
         return penalty_s + self._wait_s(instance)
 
-    async def acquire(self, instance: Instance, until_s: float, *, urgent: bool) -> Permit | None:
+    async def acquire(
+        self,
+        instance: Instance,
+        until_s: float,
+        *,
+        urgent: bool,
+        prompt_until_s: float | None = None,
+    ) -> Permit | None:
         """Wait for a slot of a server; return None at once for an unlimited one.
 
         Urgent requests reserve slots ahead of time; others take those that are due, and so come
@@ -186,6 +207,9 @@
             instance: The server.
             until_s: The latest monotonic time at which the request may be sent.
             urgent: Whether a caller waits for the request.
+            prompt_until_s: The latest time at which the answer would be in time for its target. A
+                burst of requests is queued as long as ``until_s`` allows; where the queue stands,
+                its end would only make all answers late.
 
         Raises:
             LimitReached: There is no slot in time; nothing was sent.
@@ -196,12 +220,20 @@
         if (permit := self._pop_slot(pool, until_s)) is not None:
             await self._wait_for(pool, permit)
             return permit
-        until_ms = self._store_ms() + 1000 * (until_s - self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        shortened = prompt_until_s is not None and self._has_standing_queue(pool)
+        if prompt_until_s is not None and shortened:
+            until_s = min(until_s, max(now_s, prompt_until_s))
+        until_ms = self._store_ms() + 1000 * (until_s - now_s)
         waiter = _Waiter(until_ms, urgent=urgent)
         pool.waiters.append(waiter)
         self._serve(pool, at_once=urgent)
         try:
             permit = await waiter.permit
+        except LimitReached:
+            if shortened:
+                pool.shed_until_s = self._clock.monotonic_s() + _SHED_S
+            raise
         except asyncio.CancelledError:
             if waiter.permit.done() and not waiter.permit.cancelled():
                 self._return_slot(pool, waiter.permit)
@@ -249,10 +281,12 @@
         free_at_s = now_s + min(self._wait_s(instance) for instance in limited)
         return_at_s = max(free_at_s, self._returns_at_s.get(service, 0.0))
         spacing_s = 1 / expected_per_s
-        self._returns_at_s[service] = min(return_at_s, now_s + _MAX_RETRY_S) + spacing_s
-        retry_after_s = min(
-            _MAX_RETRY_S, return_at_s - now_s + spacing_s * self._rng.uniform(0.5, 1.0)
-        )
+        if return_at_s + spacing_s > now_s + _MAX_RETRY_S:
+            # All turns of this time are promised; the rest spread over it as well.
+            return_at_s = self._rng.uniform(free_at_s, max(free_at_s, now_s + _MAX_RETRY_S))
+        else:
+            self._returns_at_s[service] = return_at_s + spacing_s
+        retry_after_s = return_at_s - now_s + spacing_s * self._rng.uniform(0.5, 1.0)
         self.refusals += 1
         self._log.info(
             "limit_refused",
@@ -310,6 +344,23 @@
             pool.slots.append(permit)
             raise
 
+    def _has_standing_queue(self, pool: _Pool) -> bool:
+        """Return whether requests have been waiting for their turns for longer than a burst.
+
+        It ends when none has been refused for that for a while.
+        """
+        rate_per_s = self._limits.rate_per_s(pool.instance)
+        if rate_per_s is None:
+            return False
+        now_s = self._clock.monotonic_s()
+        if self._wait_s(pool.instance) <= _QUEUED_REQUESTS / rate_per_s:
+            pool.queued_since_s = None
+        elif pool.queued_since_s is None:
+            pool.queued_since_s = now_s
+        elif now_s - pool.queued_since_s > _BURST_S:
+            pool.shed_until_s = now_s + _SHED_S
+        return now_s < pool.shed_until_s
+
     def _return_slot(self, pool: _Pool, permit: asyncio.Future[Permit | None]) -> None:
         """Keep the slot of a request that was cancelled for the next one."""
         if permit.exception() is None and (slot := permit.result()) is not None:
@@ -324,7 +375,7 @@
             usable_at_s = min(slot.usable_at_s for slot in pool.slots)
             return max(0.0, usable_at_s - self._clock.monotonic_s())
         next_ms = pool.schedule.next_ms
-        if self._is_uncoordinated(pool):
+        if self._is_uncoordinated():
             next_ms = self._next_own_slot_ms(pool, self._limits.rate_per_s(instance) or math.inf)
         return max(0.0, next_ms - self._store_ms()) / 1000
 
@@ -357,7 +408,7 @@
             if rate_per_s is None:
                 self._release_all(pool)
                 return
-            if self._is_uncoordinated(pool):
+            if self._is_uncoordinated():
                 granted = self._use_own_slot(pool, rate_per_s)
             else:
                 try:
@@ -370,7 +421,8 @@
                     )
                     continue
                 except StoreUnavailable as error:
-                    pool.uncoordinated_until_s = self._clock.monotonic_s() + _UNCOORDINATED_S
+                    self._store_failed = True
+                    self._uncoordinated_until_s = self._clock.monotonic_s() + _UNCOORDINATED_S
                     self._log.warning(
                         "limit_uncoordinated",
                         server=pool.instance.instance_id,
@@ -399,20 +451,23 @@
             wanted=len(urgent),
             until_ms=max((waiter.until_ms for waiter in urgent), default=0.0),
         )
-        batch = max(1, math.ceil(_BATCH_S * rate_per_s))
         due = reserve(
             ahead.schedule,
             rate_per_s,
             now_ms,
-            wanted=min(batch, len(others) + self._wanted(pool)),
-            until_ms=now_ms,
+            wanted=len(others) + self._wanted(pool),
+            until_ms=ahead.schedule.until_ms(rate_per_s, now_ms),
         )
-        if not ahead.slots_ms and not due.slots_ms:
+        reserved = len(ahead.slots_ms) + len(due.slots_ms)
+        callers_told = now_ms - pool.schedule.callers_ms < _TELL_CALLERS_MS
+        if not reserved and (callers_told or not urgent):
             return False
-        await self._commit(pool, due.schedule, rate_per_s, len(ahead.slots_ms) + len(due.slots_ms))
+        callers_ms = now_ms if urgent else due.schedule.callers_ms
+        schedule = msgspec.structs.replace(due.schedule, callers_ms=callers_ms)
+        await self._commit(pool, schedule, rate_per_s, reserved)
         self._hand_out(pool, [*ahead.slots_ms], urgent)
         self._hand_out(pool, [*due.slots_ms], others)
-        return True
+        return reserved > 0
 
     async def _commit(
         self, pool: _Pool, schedule: LimitSchedule, rate_per_s: float, reserved: int
@@ -423,12 +478,15 @@
         transaction = replacement_transaction(row_id, pool.version, msgspec.json.encode(row))
         former_ms = pool.schedule.next_ms
         try:
-            version = await self._store.commit(transaction, _RESERVE_TIMEOUT_S)
+            timeout_s = _RETRY_TIMEOUT_S if self._store_failed else _RESERVE_TIMEOUT_S
+            version = await self._store.commit(transaction, timeout_s)
         except RowConflict as conflict:
+            self._store_failed = False
             self._adopt(pool, conflict, row_id)
             raise
+        self._store_failed = False
         pool.version, pool.schedule = version, schedule
-        if former_ms:
+        if former_ms and reserved:
             used = max(reserved, (schedule.next_ms - former_ms) * rate_per_s / 1000)
             pool.share += _SHARE_WEIGHT * (reserved / used - pool.share)
 
@@ -466,7 +524,7 @@
     def _refuse_late(self, pool: _Pool, rate_per_s: float) -> None:
         """Refuse the requests that have no slot left in time."""
         next_ms = max(pool.schedule.next_ms, float(self._store_ms()))
-        if self._is_uncoordinated(pool):
+        if self._is_uncoordinated():
             next_ms = self._next_own_slot_ms(pool, rate_per_s)
         for waiter in list(pool.waiters):
             if waiter.until_ms < next_ms:
@@ -504,8 +562,8 @@
 
     # Without the store.
 
-    def _is_uncoordinated(self, pool: _Pool) -> bool:
-        return self._clock.monotonic_s() < pool.uncoordinated_until_s
+    def _is_uncoordinated(self) -> bool:
+        return self._clock.monotonic_s() < self._uncoordinated_until_s
 
     def _next_own_slot_ms(self, pool: _Pool, rate_per_s: float) -> float:
         after_ms = max(pool.own_slot_ms, self._store_ms() - 1000 * _SLOT_VALID_S)
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -283,8 +283,13 @@
             try:
                 permit = await self._allowances.acquire(
                     backend.instance,
-                    exchange.request.deadline_s - max(backend.latency_s, _MIN_SEND_S),
+                    self._latest_send_s(exchange, backend),
                     urgent=not exchange.request.owed,
+                    prompt_until_s=(
+                        exchange.request.arrived_s
+                        + exchange.route.target_latency_s
+                        - backend.latency_s
+                    ),
                 )
             except LimitReached:
                 without_turn.add(choice.instance_id)
@@ -301,6 +306,11 @@
             exchange.history.limited(self._allowances.refused(limited, exchange.request.request_id))
         return None
 
+    def _latest_send_s(self, exchange: _Exchange, backend: Backend) -> float:
+        """Return the time after which a server is likely to answer later than the deadline."""
+        answer_s = max(backend.latency_s, exchange.route.target_latency_s)
+        return max(self._clock.monotonic_s(), exchange.request.deadline_s - answer_s)
+
     def _start_send(
         self, exchange: _Exchange, backend: Backend, choice: Choice, *, permit: Permit | None
     ) -> asyncio.Task[Reply]:
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -93,8 +93,13 @@
                 break
             backend, choice = chosen
             try:
+                # The first event may take the target latency.
+                latest_s = request.deadline_s - route.target_latency_s
                 permit = await self._allowances.acquire(
-                    backend.instance, request.deadline_s, urgent=True
+                    backend.instance,
+                    max(self._clock.monotonic_s(), latest_s),
+                    urgent=True,
+                    prompt_until_s=request.arrived_s + route.target_latency_s,
                 )
             except LimitReached:
                 without_turn.add(choice.instance_id)
--- a/src/verbenawind/weights/limited_orders.py
+++ b/src/verbenawind/weights/limited_orders.py
@@ -10,6 +10,8 @@
 
 # How long an order may wait for its turn; its holder's lease covers that.
 _ORDER_WAIT_S = 0.2
+# How long a call for a report may wait for its turn. What an order did is known from it alone.
+_REPORT_WAIT_S = 5.0
 
 
 class LimitedOrders:
@@ -25,7 +27,7 @@
         clock: Time source.
     """
 
-    __slots__ = ("_backends", "_clock", "_limits", "_port")
+    __slots__ = ("_awaiting_report", "_backends", "_clock", "_limits", "_port")
 
     def __init__(
         self, port: OrderPort, backends: LimitedBackends, limits: ServerLimits, clock: Clock
@@ -34,6 +36,8 @@
         self._backends = backends
         self._limits = limits
         self._clock = clock
+        # Engines for whose reports a call waits for its turn.
+        self._awaiting_report: set[str] = set()
 
     async def order(self, instance: Instance, order: LoadOrder, timeout_s: float) -> OrderReply:
         """Give an order, unless the engine takes no more requests in time."""
@@ -49,9 +53,18 @@
         return reply
 
     async def report(self, instance: Instance, timeout_s: float) -> EngineReport | None:
-        """Return an engine's report, or None if it gave none or takes no more requests now."""
-        if not await self._may_send(instance, "report", 0.0):
+        """Return an engine's report, or None if it gave none.
+
+        One call at a time waits for its turn at a limited engine; others return None at once.
+        """
+        if instance.instance_id in self._awaiting_report:
             return None
+        self._awaiting_report.add(instance.instance_id)
+        try:
+            if not await self._may_send(instance, "report", _REPORT_WAIT_S):
+                return None
+        finally:
+            self._awaiting_report.discard(instance.instance_id)
         report = await self._port.report(instance, timeout_s)
         if report is not None:
             self._limits.answered(instance, report.limit_per_s, 0, ends_limit=False)
--- a/tests/node/limits.py
+++ b/tests/node/limits.py
@@ -47,7 +47,7 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.replies: list[Reply | VerbenawindError | None] = []
-        self.took_s: list[float] = []
+        self.refused_after_s: list[float] = []
 
     @property
     def served(self) -> int:
@@ -65,7 +65,8 @@
         started_s = clock.monotonic_s()
         reply = await self.desk.ask(host, body, **options)  # type: ignore[arg-type]
         self.replies.append(reply)
-        self.took_s.append(clock.monotonic_s() - started_s)
+        if isinstance(reply, VerbenawindError):
+            self.refused_after_s.append(clock.monotonic_s() - started_s)
 
 
 def desk_servers(fleet: Fleet) -> list[OpaqueEngine]:
