--- a/src/verbenawind/gateway/allowances.py
+++ b/src/verbenawind/gateway/allowances.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 
 import msgspec
@@ -17,6 +17,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.errors import LimitReached, RowConflict, StoreUnavailable
+from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.limit_schedule import LimitSchedule, own_slot_ms, reserve
 from verbenawind.gateway.server_limits import Permit, ServerLimits, instance_incarnation
 from verbenawind.gateway.types import Instance
@@ -38,6 +39,8 @@
 _MIN_PAUSE_S = 0.05
 _MAX_PAUSE_S = 0.2
 _CONFLICT_PAUSE_S = 0.01
+# Requests that come closer together than this share one call to the store.
+_CALL_INTERVAL_S = 0.05
 # How long a request for slots without a waiting caller stands.
 _WANTED_S = 0.2
 # A limited server is preferred less than others by this time, unless it has been silent for a while
@@ -79,6 +82,7 @@
 
     __slots__ = (
         "instance",
+        "next_call_at_s",
         "own_slot_ms",
         "queued_since_s",
         "schedule",
@@ -104,6 +108,7 @@
         # This host's part of the slots that all hosts have used lately.
         self.share = 1.0
         self.own_slot_ms = 0.0
+        self.next_call_at_s = 0.0
         # Since when requests have been waiting for turns, and until when the queue is kept short.
         self.queued_since_s: float | None = None
         self.shed_until_s = float("-inf")
@@ -175,6 +180,20 @@
         """Return whether a server limits the requests that it takes."""
         return self._limits.rate_per_s(instance) is not None
 
+    def has_unlimited(self, backends: Iterable[Backend], excluded: Collection[str]) -> bool:
+        """Return whether a server that isn't suspected takes any number of requests.
+
+        Args:
+            backends: The servers of a service.
+            excluded: Servers that don't count.
+        """
+        return any(
+            not backend.suspected
+            and backend.instance.instance_id not in excluded
+            and not self.is_limited(backend.instance)
+            for backend in backends
+        )
+
     def share(self, instance: Instance) -> float:
         """Return the part of a limited server's slots that this host has used lately."""
         pool = self._pools.get(instance_incarnation(instance))
@@ -411,6 +430,7 @@
             if self._is_uncoordinated():
                 granted = self._use_own_slot(pool, rate_per_s)
             else:
+                await self._clock.sleep(max(0.0, pool.next_call_at_s - self._clock.monotonic_s()))
                 try:
                     granted = await self._reserve(pool, rate_per_s)
                     conflicts = 0
@@ -486,6 +506,7 @@
             raise
         self._store_failed = False
         pool.version, pool.schedule = version, schedule
+        pool.next_call_at_s = self._clock.monotonic_s() + _CALL_INTERVAL_S
         if former_ms and reserved:
             used = max(reserved, (schedule.next_ms - former_ms) * rate_per_s / 1000)
             pool.share += _SHARE_WEIGHT * (reserved / used - pool.share)
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards plain requests to backend servers, with retries and hedging."""
 
 import asyncio
+from collections.abc import Sequence
 
 import structlog
 
@@ -283,7 +284,7 @@
             try:
                 permit = await self._allowances.acquire(
                     backend.instance,
-                    self._latest_send_s(exchange, backend),
+                    self._latest_send_s(exchange, backend, backends),
                     urgent=not exchange.request.owed,
                     prompt_until_s=(
                         exchange.request.arrived_s
@@ -306,10 +307,19 @@
             exchange.history.limited(self._allowances.refused(limited, exchange.request.request_id))
         return None
 
-    def _latest_send_s(self, exchange: _Exchange, backend: Backend) -> float:
-        """Return the time after which a server is likely to answer later than the deadline."""
+    def _latest_send_s(
+        self, exchange: _Exchange, backend: Backend, backends: Sequence[Backend]
+    ) -> float:
+        """Return until when a request should wait for its turn at a server.
+
+        It is sent to a server without a limit rather than wait. Without one, it is sent before the
+        time after which the server is likely to answer later than the deadline.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._allowances.has_unlimited(backends, exchange.tried):
+            return now_s
         answer_s = max(backend.latency_s, exchange.route.target_latency_s)
-        return max(self._clock.monotonic_s(), exchange.request.deadline_s - answer_s)
+        return max(now_s, exchange.request.deadline_s - answer_s)
 
     def _start_send(
         self, exchange: _Exchange, backend: Backend, choice: Choice, *, permit: Permit | None
--- a/src/verbenawind/gateway/limited_backends.py
+++ b/src/verbenawind/gateway/limited_backends.py
@@ -60,13 +60,14 @@
             await self.permit(instance, attempt.request.request_id, attempt.permit)
         sent_ms = self._store_ms()
         response = await self._port.send(instance, attempt)
-        self._limits.answered(
-            instance,
-            response.limit_per_s,
-            sent_ms,
-            # Only a server's own answer shows that its limit has ended.
-            ends_limit=response.signed or response.refused,
-        )
+        if response.answered_by in ("", instance.instance_id):
+            self._limits.answered(
+                instance,
+                response.limit_per_s,
+                sent_ms,
+                # Only a server's own answer shows that its limit has ended.
+                ends_limit=response.signed or response.refused,
+            )
         return response
 
     async def permit(
--- a/src/verbenawind/gateway/server_limits.py
+++ b/src/verbenawind/gateway/server_limits.py
@@ -120,7 +120,8 @@
 
     def recent_sends(self, instance: Instance) -> int:
         """Return how many requests this host sent to a limited server in the last seconds."""
-        return len(self._recent(instance_incarnation(instance)))
+        incarnation = instance_incarnation(instance)
+        return len(self._recent(incarnation)) if incarnation in self._sent_at_s else 0
 
     def sent(self, instance: Instance) -> None:
         """Count a request that is sent to a limited server."""
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -93,11 +93,13 @@
                 break
             backend, choice = chosen
             try:
-                # The first event may take the target latency.
-                latest_s = request.deadline_s - route.target_latency_s
+                latest_s = now_s = self._clock.monotonic_s()
+                if not self._allowances.has_unlimited(backends, tried):
+                    # The first event may take the target latency.
+                    latest_s = max(now_s, request.deadline_s - route.target_latency_s)
                 permit = await self._allowances.acquire(
                     backend.instance,
-                    max(self._clock.monotonic_s(), latest_s),
+                    latest_s,
                     urgent=True,
                     prompt_until_s=request.arrived_s + route.target_latency_s,
                 )
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -198,6 +198,40 @@
         body, content_type = self.metrics.render(())
         await _send_response(send, 200, body, content_type)
 
+    def _update_limit_gauges(self) -> None:
+        """Update the gauges of the servers that limit the requests that they take."""
+        limits, allowances = self.node.limits, self.node.allowances
+        set_gauge = self.metrics.set_value
+        for backend in self.node.directory.all():
+            instance = backend.instance
+            rate_per_s = limits.rate_per_s(instance)
+            if rate_per_s is None and not limits.recent_sends(instance):
+                continue
+            server = instance.instance_id
+            set_gauge(
+                "server_limit_per_second",
+                "Requests a second that a server takes from all hosts; -1 for any number.",
+                -1.0 if rate_per_s is None else rate_per_s,
+                server=server,
+            )
+            set_gauge(
+                "server_limit_share",
+                "Part of a limited server's turns that this host has had lately.",
+                allowances.share(instance),
+                server=server,
+            )
+            set_gauge(
+                "server_limit_sends",
+                "Requests that this host sent a limited server in the last 4 s.",
+                limits.recent_sends(instance),
+                server=server,
+            )
+        set_gauge(
+            "limit_refusals",
+            "Requests refused since their servers take no more in time.",
+            allowances.refusals,
+        )
+
     def _update_gauges(self) -> None:
         """Update the gauges from the components' own counts."""
         set_gauge = self.metrics.set_value
@@ -226,6 +260,7 @@
             "Servers that announced in an answer, before the registry, that they leave.",
             self.node.directory.left_by_answer,
         )
+        self._update_limit_gauges()
         guard = self.node.guard
         set_gauge(
             "requests_suspected",
--- a/tests/node/limits.py
+++ b/tests/node/limits.py
@@ -48,6 +48,7 @@
         self.desk = desk
         self.replies: list[Reply | VerbenawindError | None] = []
         self.refused_after_s: list[float] = []
+        self.served_after_s: list[float] = []
 
     @property
     def served(self) -> int:
@@ -65,8 +66,9 @@
         started_s = clock.monotonic_s()
         reply = await self.desk.ask(host, body, **options)  # type: ignore[arg-type]
         self.replies.append(reply)
-        if isinstance(reply, VerbenawindError):
-            self.refused_after_s.append(clock.monotonic_s() - started_s)
+        took_s = clock.monotonic_s() - started_s
+        refused = isinstance(reply, VerbenawindError)
+        (self.refused_after_s if refused else self.served_after_s).append(took_s)
 
 
 def desk_servers(fleet: Fleet) -> list[OpaqueEngine]:
--- a/tests/node/test_server_limits.py
+++ b/tests/node/test_server_limits.py
@@ -158,12 +158,15 @@
         """While another server has room, a limited one gets little more than a question."""
 
         async def work(desk: Desk) -> None:
-            desk.server(0).limit_per_s = 4.0
+            desk.server(0).limit_per_s = 0.5
             load = Load(desk)
             await ask_evenly(desk, load, hosts=[0, 1, 2], rate_per_s=20.0, for_s=4.0)
             before = len(desk.server(0).arrivals_s)
-            await ask_evenly(desk, load, hosts=[0, 1, 2], rate_per_s=20.0, for_s=20.0)
-            assert not load.errors
+            later = Load(desk)
+            await ask_evenly(desk, later, hosts=[0, 1, 2], rate_per_s=20.0, for_s=20.0)
+            assert not load.errors and not later.errors
+            # Nobody waits for a turn while a server without a limit is idle.
+            assert max(later.served_after_s) < 0.2
             assert 1 <= len(desk.server(0).arrivals_s) - before <= 40
 
         run_desk(work, hosts=3, servers=3)
--- a/tests/on_platform/stubs.py
+++ b/tests/on_platform/stubs.py
@@ -179,7 +179,8 @@
     It echoes plain requests, streams events to requests that name a model, and accepts load orders.
     While ``refusing`` is set, requests get status 503 as not executed. ``drop_next`` is the number
     of next requests whose responses are lost; ``event_s`` is the delay between events. Requests
-    with the body ``crash_body`` end the server. A ``leaving`` server says so in all its answers.
+    with the body ``crash_body`` end the server. A ``leaving`` server says so in all its answers,
+    and one with a ``limit`` names it there.
     """
 
     def __init__(self, instance_id: str, version: int = 1) -> None:
@@ -192,12 +193,15 @@
         self.event_s = 0.0
         self.crash_body: bytes | None = None
         self.leaving = False
+        self.limit: str | None = None
         self.orders: list[Any] = []
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         async def announce(message: MutableMapping[str, Any]) -> None:
             if self.leaving and message["type"] == "http.response.start":
                 message["headers"].append((b"server-leaving", b"1"))
+            if self.limit is not None and message["type"] == "http.response.start":
+                message["headers"].append((b"server-limit", self.limit.encode()))
             await send(message)
 
         await self._answer(scope, receive, announce)
--- a/tests/on_platform/test_caller_app.py
+++ b/tests/on_platform/test_caller_app.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from log_lines import capture_log_lines
 from on_platform.harness import HOST, PlatformHarness, run_with_harness, submission
 from on_platform.stubs import StubServer
@@ -122,6 +124,77 @@
         run_with_harness(work)
 
 
+class TestLimitedServers:
+    def test_limit_is_passed_on_and_kept(self) -> None:
+        """The header reaches the caller; what gets no turn is refused, not run, with a time."""
+
+        async def work(harness: PlatformHarness) -> None:
+            for server in harness.plain:
+                server.limit = "0.25"
+            named = 0
+            for index in range(8):
+                response = await harness.call("POST", "/plain/x", b"b", request_id=f"r{index}")
+                named += response.headers.get("server-limit") == "0.25"
+                if response.status == 503:
+                    break
+            assert named >= 2
+            refused = []
+            for index in range(6):
+                request_id = f"later-{index}"
+                response = await harness.call("POST", "/plain/x", b"b", request_id=request_id)
+                if response.status == 503:
+                    assert float(response.headers["retry-after"]) > 0
+                    refused.append(request_id)
+            assert refused
+            ran = {
+                headers["x-verbenawind-attempt-id"]
+                for server in harness.plain
+                for _, _, headers, _ in server.seen
+            }
+            assert not ran & set(refused)
+
+        run_with_harness(work)
+
+    @pytest.mark.parametrize("limit", ["", "many", "-1", "nan"])
+    def test_unreadable_limit_is_no_limit(self, limit: str) -> None:
+        """A header that is no non-negative number changes nothing."""
+
+        async def work(harness: PlatformHarness) -> None:
+            for server in harness.plain:
+                server.limit = limit
+            for index in range(20):
+                response = await harness.call("POST", "/plain/x", b"b", request_id=f"r{index}")
+                assert response.status == 200
+
+        run_with_harness(work)
+
+    def test_same_header_of_a_caller_means_nothing(self) -> None:
+        """A request that carries the header limits no server."""
+
+        async def work(harness: PlatformHarness) -> None:
+            for index in range(8):
+                await harness.call(
+                    "POST", "/plain/x", b"b", request_id=f"r{index}", Server_Limit="0.1"
+                )
+            assert not harness.daemons[0].node.limits.active()
+
+        run_with_harness(work)
+
+    def test_answers_to_orders_name_a_limit(self) -> None:
+        """An engine names its limit in its answer to a load order."""
+
+        async def work(harness: PlatformHarness) -> None:
+            harness.engines[0].limit = "3.5"
+            for version in (2, 3):
+                row = {"model": "tuner", "version": version}
+                harness.store.put("op", "version/tuner", row)
+            limits = harness.daemons[0].node.limits
+            await harness.until(limits.active)
+            assert [limit.rate_per_s for limit in limits.active().values()] == [3.5]
+
+        run_with_harness(work)
+
+
 class TestPlainRequests:
     def test_request_and_response_are_forwarded_unchanged(self) -> None:
         """Method, target, body and end-to-end headers are forwarded; so is the response."""
