--- a/src/verbenawind/gateway/ports.py
+++ b/src/verbenawind/gateway/ports.py
@@ -18,7 +18,7 @@
 
     ``deadline_s`` is the monotonic time at which the caller stops waiting. An ``owed`` request
     belongs to work that was accepted earlier, and so may not be refused for the servers that ended
-    under it.
+    under it. ``caller`` is the same for all requests of a caller, and empty if it isn't known.
     """
 
     request_id: str
@@ -31,6 +31,7 @@
     deadline_s: float
     resume_after: int | None = None
     owed: bool = False
+    caller: str = ""
 
 
 class Attempt(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -193,6 +193,8 @@
             arrived_s=exchange.arrived_s,
             deadline_s=exchange.arrived_s + min(limit_s, _MAX_REQUEST_S),
             resume_after=int(last_event) if last_event and last_event.isdigit() else None,
+            # Requests bear no name of their caller, who keeps the address over all connections.
+            caller=exchange.caller_ip,
         )
 
     async def _forward(
--- a/src/verbenawind/platform/exchange.py
+++ b/src/verbenawind/platform/exchange.py
@@ -47,6 +47,7 @@
         "_receive",
         "_send",
         "arrived_s",
+        "caller_ip",
         "close_connection",
         "headers",
         "host",
@@ -64,6 +65,8 @@
         self.started = False
         self.close_connection = False
         self.method: str = scope["method"]
+        client = scope.get("client")
+        self.caller_ip: str = client[0] if client else ""
         self.headers = [
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
         ]
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -52,6 +52,7 @@
         kind: RouteKind = RouteKind.IDEMPOTENT,
         timeout_s: float = 3.0,
         owed: bool = False,
+        caller: str = "",
     ) -> Reply | VerbenawindError | None:
         """Send a request at a host and return the reply, or None for a stream, or the error."""
         self.requests += 1
@@ -66,6 +67,7 @@
             arrived_s=now_s,
             deadline_s=now_s + timeout_s,
             owed=owed,
+            caller=caller,
         )
         route = Route(
             name="desk",
