--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -1,6 +1,7 @@
 """Runs one item on one engine, resuming after the events that have already arrived."""
 
 import asyncio
+import contextlib
 from collections import Counter
 from collections.abc import Callable, Sequence
 from enum import StrEnum
@@ -25,6 +26,11 @@
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 _UNPROCESSABLE = 422
+# A refusal beyond these limits is not read to its end.
+_MAX_REFUSAL_BYTES = 64 * 1024
+_REFUSAL_S = 0.2
+# Size beyond which a text is no item's: no page of results could list it.
+_MAX_TEXT_BYTES = 1024 * 1024
 
 
 class RunEnd(StrEnum):
@@ -89,10 +95,12 @@
     A ``complete`` text has all of its events; its item may still wait for a score.
     """
 
-    __slots__ = ("complete", "events", "last_event", "last_version", "versions")
+    __slots__ = ("complete", "events", "last_event", "last_version", "size_bytes", "versions")
 
     def __init__(self) -> None:
         self.events: list[str] = []
+        # The approximate size of the text.
+        self.size_bytes = 0
         self.last_event: int | None = None
         self.last_version: int | None = None
         self.versions: set[int] = set()
@@ -103,14 +111,10 @@
         """The data of all events, one per line."""
         return "\n".join(self.events)
 
-    @property
-    def size_bytes(self) -> int:
-        """The approximate size of the text."""
-        return sum(map(len, self.events))
-
     def extend(self, events: Sequence[str], last_event: int, last_version: int) -> None:
         """Append events that an earlier owner of the job saved."""
         self.events.extend(events)
+        self.size_bytes += sum(map(len, events))
         self.last_event = last_event
         self.last_version = last_version
 
@@ -123,6 +127,7 @@
     def clear(self) -> None:
         """Discard all events."""
         self.events.clear()
+        self.size_bytes = 0
         self.versions.clear()
         self.last_event = self.last_version = None
         self.complete = False
@@ -202,9 +207,7 @@
     """Return the outcome of a response other than an event stream, None for a stream."""
     detail = f"status {response.status}"
     if response.refused:
-        # Read the body to the end so that the connection can be reused.
-        while await response.chunk():
-            pass
+        await _discard_body(response)
         is_misdirected = response.status == _MISDIRECTED
         other_version = is_misdirected and limits.expect_version is not None
         return RunOutcome(end=RunEnd.REFUSED, detail=detail, other_version=other_version)
@@ -219,6 +222,17 @@
     return None
 
 
+async def _discard_body(response: BackendResponse) -> None:
+    """Read a refusal to its end so that the connection can be reused, unless that takes longer."""
+    size_bytes = 0
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_REFUSAL_S):
+            while data := await response.chunk():
+                size_bytes += len(data)
+                if size_bytes > _MAX_REFUSAL_BYTES:
+                    return
+
+
 async def _read_events(
     response: BackendResponse,
     partial: PartialText,
@@ -258,7 +272,14 @@
                     end=RunEnd.BROKEN,
                     detail=f"event {event.event_id} received after {partial.last_event}",
                 )
+            if partial.size_bytes + len(event.data) > _MAX_TEXT_BYTES:
+                partial.clear()
+                return RunOutcome(
+                    end=RunEnd.BROKEN,
+                    detail=f"the text exceeded the limit of {_MAX_TEXT_BYTES} characters",
+                )
             partial.events.append(event.data)
+            partial.size_bytes += len(event.data)
             partial.last_event = event.event_id
             partial.versions.add(version)
             partial.last_version = version
--- a/src/verbenawind/gateway/events.py
+++ b/src/verbenawind/gateway/events.py
@@ -8,7 +8,10 @@
 __all__ = ["EventReader", "StreamEvent"]
 
 # Without an end of event within this size, the body is not an event stream.
-_MAX_EVENT_BYTES = 4 * 1024 * 1024
+_MAX_EVENT_BYTES = 256 * 1024
+
+
+_END = b"\n\n"
 
 
 class StreamEvent(Value, frozen=True, kw_only=True):
@@ -27,16 +30,19 @@
         version_field: Name of the field that carries a weight version, in lower case.
     """
 
-    __slots__ = ("_buffer", "_version_field")
+    __slots__ = ("_parts", "_size_bytes", "_tail", "_version_field")
 
     def __init__(self, version_field: str) -> None:
-        self._buffer = b""
+        # Pieces of an incomplete event; ``_tail`` may be the beginning of its end.
+        self._parts: list[bytes] = []
+        self._size_bytes = 0
+        self._tail = b""
         self._version_field = version_field
 
     @property
     def pending(self) -> bool:
         """Whether an incomplete event is buffered."""
-        return bool(self._buffer.strip())
+        return any(part.strip() for part in (*self._parts, self._tail))
 
     def feed(self, data: bytes) -> Sequence[StreamEvent]:
         """Parse *data* and return the events that it completes.
@@ -44,12 +50,30 @@
         Raises:
             BackendServerFailed: The body is not a valid event stream.
         """
-        self._buffer += data.replace(b"\r\n", b"\n") if b"\r" in data else data
-        *blocks, self._buffer = self._buffer.split(b"\n\n")
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise BackendServerFailed("an event of the stream exceeds the size limit")
+        data = self._tail + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        if _END not in data:
+            # Only the end of the piece is looked at again, so that a long event costs linear time.
+            self._keep(data)
+            return []
+        first, *blocks, rest = data.split(_END)
+        blocks.insert(0, b"".join([*self._parts, first]))
+        self._parts, self._size_bytes, self._tail = [], 0, b""
+        self._keep(rest)
         return [self._parse(block) for block in blocks if block.strip(b"\n")]
 
+    def _keep(self, data: bytes) -> None:
+        """Keep the beginning of an incomplete event."""
+        kept, self._tail = data[: -len(_END)], data[-len(_END) :]
+        if kept:
+            self._parts.append(kept)
+            self._size_bytes += len(kept)
+        if self._size_bytes > _MAX_EVENT_BYTES:
+            raise BackendServerFailed(
+                f"an event of the stream exceeded the limit of {_MAX_EVENT_BYTES} bytes"
+            )
+
     def _parse(self, block: bytes) -> StreamEvent:
         event_id: int | None = None
         version: int | None = None
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -216,10 +216,17 @@
             return
         try:
             await exchange.start(reply.status, headers)
-            await exchange.write(reply.body)
-            while data := await reply.rest.chunk():
-                await exchange.write(data)
+            left_s = request.deadline_s - self._clock.monotonic_s()
+            async with asyncio.timeout(max(0.0, left_s)):
+                await exchange.write(reply.body)
+                while data := await reply.rest.chunk():
+                    await exchange.write(data)
             await exchange.write(b"", last=True)
+        except TimeoutError as error:
+            raise DeadlineExceeded(
+                f"the answer to request {request.request_id} did not end before its deadline",
+                outcome=Outcome.RAN,
+            ) from error
         finally:
             reply.rest.close()
 
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -82,6 +82,7 @@
             clock,
             _DIRECT_TIMEOUT_S,
             self.metrics,
+            max_object_bytes=settings.max_object_bytes,
         )
         self._transport = WebSocketPeerTransport()
         self._relay_server = RelayServer(self.store.direct)
--- a/src/verbenawind/platform/settings.py
+++ b/src/verbenawind/platform/settings.py
@@ -31,6 +31,7 @@
 class _Platform(_Section, frozen=True, kw_only=True):
     address: str
     row_bytes: int = 65536
+    blob_bytes: int = 8 * 1024 * 1024
 
 
 class _Bounds(_Section, frozen=True, kw_only=True):
@@ -74,6 +75,7 @@
     metrics_address: str
     store_address: str
     max_row_bytes: int
+    max_object_bytes: int
     region_of_zone: dict[str, str]
     order_gap_s: float
     stop_grace_s: float
@@ -127,6 +129,7 @@
         metrics_address=f"{file.ip}:{first + 1}",
         store_address=file.platform.address,
         max_row_bytes=file.platform.row_bytes,
+        max_object_bytes=file.platform.blob_bytes,
         region_of_zone=dict(file.zones) | {file.zone: file.region},
         order_gap_s=file.bounds.lease_ms / _MS,
         stop_grace_s=file.bounds.grace_s,
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -33,6 +33,9 @@
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
+# A page has 500 rows or 1 MB of values, which are encoded in base64.
+_MAX_PAGE_BYTES = 4 * 1024 * 1024
+_DEFAULT_OBJECT_BYTES = 8 * 1024 * 1024
 _PRECONDITION_FAILED = 412
 # Statuses by which the store guarantees that the call had no effect.
 _NO_EFFECT_STATUSES = frozenset({429, 503})
@@ -84,6 +87,7 @@
         clock: Time source.
         direct_timeout_s: Timeout of a direct call, after which the call is relayed by a peer.
         timings: Records the duration of calls.
+        max_object_bytes: The largest object that the store keeps.
     """
 
     def __init__(
@@ -93,7 +97,10 @@
         clock: Clock,
         direct_timeout_s: float,
         timings: Timings,
+        *,
+        max_object_bytes: int = _DEFAULT_OBJECT_BYTES,
     ) -> None:
+        self._max_object_bytes = max_object_bytes
         self._address = address
         self._client = client
         self._clock = clock
@@ -239,7 +246,7 @@
                 response = await self._client.send(self._address, request)
                 sent = True
                 await response.head()
-                body = await response.body()
+                body = await response.body(self._max_body_bytes(kind))
         except (BackendServerUnreachable, BackendServerFailed, TimeoutError) as error:
             if response is not None:
                 response.close()
@@ -365,6 +372,10 @@
             self._store_ms, self._store_ms_at_s = page.now_ms, self._clock.monotonic_s()
         return page
 
+    def _max_body_bytes(self, kind: str) -> int:
+        """Return the size beyond which an answer to a kind of call is an error."""
+        return self._max_object_bytes if kind == "blob-get" else _MAX_PAGE_BYTES
+
     def _count(self, kind: str, outcome: str) -> None:
         name = f"{kind} {outcome}"
         self.calls[name] = self.calls.get(name, 0) + 1
--- a/src/verbenawind/plugins/engine_http.py
+++ b/src/verbenawind/plugins/engine_http.py
@@ -24,6 +24,7 @@
     TokensGenerated,
 )
 from verbenawind.kernel.ports import EngineClient
+from verbenawind.plugins.http_bounds import send_bounded
 from verbenawind.plugins.http_errors import backend_errors
 from verbenawind.plugins.registries import ENGINE_ADAPTERS
 
@@ -37,6 +38,8 @@
 _STATUS_FENCING_REFUSED = 409
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
+# Without an end of line within this size, the body is no event stream.
+_MAX_LINE_BYTES = 256 * 1024
 # The minimum interval between the token events of a stream grows with the number of open streams,
 # because every event costs processing time.
 _MAX_EVENT_INTERVAL_S = 0.15
@@ -150,7 +153,8 @@
     ) -> bytes:
         operation = f"engine {self._server.server_id} {method} {path}"
         with backend_errors(operation):
-            response = await self._client.request(method, path, content=content, timeout=timeout_s)
+            request = self._client.build_request(method, path, content=content, timeout=timeout_s)
+            response = await send_bounded(self._client, request)
         if response.status_code == _STATUS_FENCING_REFUSED:
             raise FencingRefused(f"{operation}: {response.text}")
         if response.status_code == _STATUS_ADMISSION_REFUSED:
@@ -221,7 +225,7 @@
     def __init__(self, attempt_id: str, operation: str) -> None:
         self._attempt_id = attempt_id
         self._operation = operation
-        self._partial_line = b""
+        self._partial_line = bytearray()
         self._end_event: GenerationEnded | None = None
         self._pending_chunks: list[_Chunk] = []
         self._events: list[EngineEvent] = []
@@ -232,9 +236,17 @@
 
         Raises:
             StreamTruncated: The end marker arrived before a finish reason with a token count.
+            BackendServerFailed: A line is too long.
         """
-        lines = (self._partial_line + data).split(b"\n")
-        self._partial_line = lines.pop()
+        if b"\n" not in data:
+            self._partial_line += data
+            if len(self._partial_line) > _MAX_LINE_BYTES:
+                raise BackendServerFailed(
+                    f"{self._operation}: a line exceeded the limit of {_MAX_LINE_BYTES} bytes"
+                )
+            return None
+        lines = (bytes(self._partial_line) + data).split(b"\n")
+        self._partial_line = bytearray(lines.pop())
         for line in lines:
             if line.startswith(_DONE):
                 return self._finish()
--- a/src/verbenawind/plugins/peer_websocket.py
+++ b/src/verbenawind/plugins/peer_websocket.py
@@ -15,6 +15,8 @@
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 0.5
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Messages of a link that wait to be processed; the peer waits beyond this.
+_MAX_QUEUED_MESSAGES = 2
 
 
 class _Channel:
@@ -65,6 +67,7 @@
             host,
             int(port),
             max_size=_MAX_MESSAGE_BYTES,
+            max_queue=_MAX_QUEUED_MESSAGES,
             close_timeout=_CLOSE_TIMEOUT_S,
             compression=None,
         )
@@ -80,6 +83,7 @@
                 open_timeout=_OPEN_TIMEOUT_S,
                 close_timeout=_CLOSE_TIMEOUT_S,
                 max_size=_MAX_MESSAGE_BYTES,
+                max_queue=_MAX_QUEUED_MESSAGES,
                 compression=None,
                 proxy=None,
             )
--- a/src/verbenawind/plugins/platform_http.py
+++ b/src/verbenawind/plugins/platform_http.py
@@ -8,12 +8,15 @@
 from verbenawind.errors import ConditionFailed, StoreUnavailable
 from verbenawind.kernel.messages import HostEntry, WeightManifest
 from verbenawind.kernel.ports import Row, Transaction
+from verbenawind.plugins.http_bounds import send_bounded
 from verbenawind.plugins.http_errors import store_errors
 
 __all__ = ["HttpHostList", "HttpObjectStore", "HttpTableStore", "HttpWeightStore"]
 
 _TIMEOUT_S = 5.0
 _CONFLICT = 409
+# An object holds a whole batch of samples.
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
 
 
 class _PlatformClient:
@@ -38,7 +41,8 @@
     ) -> httpx.Response:
         operation = f"platform {method} {path}"
         with store_errors(operation):
-            response = await self._client.request(method, path, content=content, params=params)
+            request = self._client.build_request(method, path, content=content, params=params)
+            response = await send_bounded(self._client, request, max_bytes=_MAX_ANSWER_BYTES)
         if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
             raise StoreUnavailable(
                 f"{operation}: status {response.status_code}", effect_possible=True
--- a/src/verbenawind/plugins/scoring_http.py
+++ b/src/verbenawind/plugins/scoring_http.py
@@ -6,11 +6,14 @@
 from verbenawind.errors import BackendServerFailed
 from verbenawind.kernel.messages import BackendServer, ScoringRequest, ScoringResponse
 from verbenawind.kernel.ports import ScoringClient
+from verbenawind.plugins.http_bounds import send_bounded
 from verbenawind.plugins.http_errors import backend_errors
 from verbenawind.plugins.registries import SCORING_ADAPTERS
 
 __all__ = ["HttpScoringClient"]
 
+_MAX_GRADE_BYTES = 64 * 1024
+
 
 class HttpScoringClient:
     """HTTP client of one scoring service host; implements the ScoringClient port.
@@ -29,9 +32,10 @@
         """Return the grade of one sample."""
         operation = f"scoring host {self._server.server_id} sample {request.sample_id}"
         with backend_errors(operation):
-            response = await self._client.post(
-                "/score", content=msgspec.json.encode(request), timeout=timeout_s
+            http_request = self._client.build_request(
+                "POST", "/score", content=msgspec.json.encode(request), timeout=timeout_s
             )
+            response = await send_bounded(self._client, http_request, max_bytes=_MAX_GRADE_BYTES)
         if response.status_code != httpx.codes.OK:
             raise BackendServerFailed(f"{operation}: status {response.status_code}")
         try:
--- a/src/verbenawind/plugins/service_http.py
+++ b/src/verbenawind/plugins/service_http.py
@@ -5,6 +5,7 @@
 from verbenawind.errors import AdmissionRefused
 from verbenawind.kernel.messages import BackendServer, ServiceRequest, ServiceResponse
 from verbenawind.kernel.ports import ServiceClient
+from verbenawind.plugins.http_bounds import send_bounded
 from verbenawind.plugins.http_errors import backend_errors
 from verbenawind.plugins.registries import SERVICE_ADAPTERS
 
@@ -43,8 +44,11 @@
             headers["idempotency-key"] = request.idempotency_key
         url = f"{request.path}?{request.query}" if request.query else request.path
         with backend_errors(operation):
-            response = await self._client.request(
-                request.method, url, content=request.body, headers=headers
+            response = await send_bounded(
+                self._client,
+                self._client.build_request(
+                    request.method, url, content=request.body, headers=headers
+                ),
             )
         if _NOT_ADMITTED_HEADER in response.headers:
             raise AdmissionRefused(f"{operation}: admission refused")
--- a/tests/on_platform/harness.py
+++ b/tests/on_platform/harness.py
@@ -82,6 +82,7 @@
                 metrics_address=free_address(),
                 store_address=self.store.address,
                 max_row_bytes=65536,
+                max_object_bytes=1 << 20,
                 region_of_zone={"a": "a"},
                 order_gap_s=3.0,
                 stop_grace_s=8.0,
