--- a/src/verbenawind/gateway/limited_backends.py
+++ b/src/verbenawind/gateway/limited_backends.py
@@ -1,4 +1,7 @@
-"""Keeps all requests to backend servers within the limits that these name in their answers."""
+"""Keeps all requests to backend servers within the limits that these name in their answers.
+
+The turns come from ``allowances.py``; what servers say of their limits is in ``server_limits.py``.
+"""
 
 from collections.abc import Callable
 
--- a/src/verbenawind/gateway/server_limits.py
+++ b/src/verbenawind/gateway/server_limits.py
@@ -7,6 +7,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Mapping
+from enum import StrEnum
 
 import structlog
 
@@ -24,8 +25,8 @@
 _MAX_LIMITS = 512
 
 
-class LimitSource:
-    """Names of what told this host of a limit, for the log."""
+class LimitSource(StrEnum):
+    """What told this host of a limit."""
 
     ANSWER = "answer"
     HOST = "another host"
@@ -168,7 +169,7 @@
         self._named_at_s.pop(incarnation, None)
         self._sent_at_s.pop(incarnation, None)
 
-    def _put(self, incarnation: str, named: NamedLimit, source: str) -> bool:
+    def _put(self, incarnation: str, named: NamedLimit, source: LimitSource) -> bool:
         """Record a statement, and return whether it changes the limit."""
         old = self._limits.get(incarnation)
         if old is not None and named.stated_ms <= old.stated_ms:
@@ -192,7 +193,7 @@
             service=named.service,
             limit_per_s=named.rate_per_s,
             former_limit_per_s=old_rate,
-            source=source,
+            source=source.value,
             sent_lately=len(self._recent(incarnation)),
         )
         return True
