--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,7 @@
 
 from absl import app, flags
 
+from soak.limits import LimitSoak
 from soak.repeats import RepeatSoak
 from soak.run import Soak
 
@@ -21,6 +22,7 @@
     "Soak repeats of crashing requests instead: alone, beside sound callers of the same request, "
     "these from the same address, or with hosts that are killed and paused.",
 )
+_LIMITS = flags.DEFINE_boolean("limits", False, "Soak servers that name a limit instead.")
 _KEEP = flags.DEFINE_string(
     "keep", "", "Directory for settings and logs; a temporary one if empty."
 )
@@ -38,6 +40,8 @@
 
 
 def _create_soak(directory: Path) -> Soak:
+    if _LIMITS.value:
+        return LimitSoak(_SEED.value, _HOSTS.value, directory)
     if _REPEATS.value is None:
         return Soak(_SEED.value, _HOSTS.value, _ENGINES.value, directory)
     return RepeatSoak(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import signal
 import time
@@ -137,6 +138,7 @@
         self._request_statuses: dict[str, int] = {}
         self._status_counts: dict[int, int] = {}
         self._crashing_requests = 0
+        self._request_numbers = itertools.count(1)
         # The host and time of each request, and when a host passed on that a process leaves.
         self._sent: dict[str, tuple[str, float]] = {}
         self._announced: dict[tuple[str, str], float] = {}
@@ -367,11 +369,9 @@
                 job.results.append(result)
 
     async def _run_callers(self) -> None:
-        number = 0
         while self._injecting_faults:
-            number += 1
             kind = self._rng.choice(["plain", "once"])
-            request_id = f"{kind}{number}"
+            request_id = f"{kind}{next(self._request_numbers)}"
             host = self._rng.choice(self.hosts)
             response = await self._request(
                 host, "POST", f"/{kind}/x", request_id, request_id.encode()
