Split the turns of a server from who asks for them; delete rows of servers that are gone

The schedule's row is deleted by the host that deletes the row that names the limit. No other behaviour is meant to change.

--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Routes requests by host and path to registered backend servers, without reading the bodies."""
 
-from verbenawind.gateway.allowances import LIMITS_TABLE, Allowances
+from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
@@ -14,6 +14,7 @@
 from verbenawind.gateway.server_ends import EndEvidence, ServerEndMonitor
 from verbenawind.gateway.server_limits import NamedLimit, Permit, ServerLimits
 from verbenawind.gateway.streaming import StreamForwarder
+from verbenawind.gateway.turn_pool import LIMITS_TABLE
 from verbenawind.gateway.types import (
     EngineTraits,
     GatewayConfiguration,
--- a/src/verbenawind/gateway/limit_records.py
+++ b/src/verbenawind/gateway/limit_records.py
@@ -12,6 +12,7 @@
 from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.directory import Directory
 from verbenawind.gateway.server_limits import NamedLimit, ServerLimits, instance_incarnation
+from verbenawind.gateway.turn_pool import schedule_row_id
 from verbenawind.ids import digest_hex
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import (
@@ -46,7 +47,7 @@
 
     Args:
         limits: The limits that this host knows.
-        allowances: Its slots, which are dropped with the incarnation.
+        allowances: Its turns, which are dropped with the incarnation.
         directory: The registered servers.
         store: The row store.
         table: The table of the rows.
@@ -182,19 +183,18 @@
         for key, row in list(self._rows.items()):
             if row.incarnation in present or row.limit.stated_ms > earliest_ms:
                 continue
-            schedule_id, schedule_version = self._allowances.schedule_row(row.incarnation)
             self._limits.forget(row.incarnation)
             self._allowances.forget(row.incarnation)
             if not self._is_assigned(key):
                 continue
             await self._delete(RowId(table=self._table, key=key), self._versions.get(key, 0))
-            await self._delete(schedule_id, schedule_version)
+            await self._delete(schedule_row_id(row.incarnation), 0)
 
     async def _delete(self, row_id: RowId, version: int) -> None:
         try:
             await self._store.commit(_deletion(row_id, version), _WRITE_TIMEOUT_S)
         except RowConflict as conflict:
-            # A host that never reserved a slot doesn't know the version of the schedule.
+            # Hosts don't follow the schedules, so the version becomes known here.
             actual = conflict.versions.get(row_id.key, 0)
             if actual:
                 with_version = _deletion(row_id, actual)
--- a/src/verbenawind/gateway/limited_backends.py
+++ b/src/verbenawind/gateway/limited_backends.py
@@ -52,7 +52,7 @@
     async def send(self, instance: Instance, attempt: Attempt) -> BackendResponse:
         """Send an attempt, which needs a permit if the server is limited.
 
-        A request whose server has become limited since it was chosen takes a slot that is due.
+        A request whose server has become limited since it was chosen takes a turn that is due.
 
         Raises:
             LimitReached: The server takes no more requests now; nothing was sent.
--- a/tests/node/test_server_limits.py
+++ b/tests/node/test_server_limits.py
@@ -15,7 +15,9 @@
 from node.limits import Load, check_limit
 from node.test_crashing_requests import Desk, run_desk
 from verbenawind.errors import LimitReached, Outcome
-from verbenawind.gateway import RouteKind
+from verbenawind.gateway import LIMITS_TABLE, RouteKind
+from verbenawind.kernel.row_ports import RowId
+from verbenawind.state.heartbeats import HOSTS_TABLE
 
 # The part of the sum of the limits that callers should get.
 USED = 0.9
@@ -363,6 +365,46 @@
         run_desk(work, hosts=6, servers=3, seed=seed)
 
 
+class TestRows:
+    def test_rows_of_servers_that_are_gone_are_deleted(self) -> None:
+        """A server that named a limit leaves; a minute later nothing is kept of it."""
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            desk.server(0).limit_per_s = 1.0
+            load = Load(desk)
+            await ask_evenly(desk, load, hosts=[0, 1, 2], rate_per_s=10.0, for_s=6.0)
+
+            def rows() -> list[str]:
+                parts = [(LIMITS_TABLE, part) for part in fleet.store.table_parts(LIMITS_TABLE)]
+                pages = [fleet.store.page(*part, "", 100) for part in [*parts, (HOSTS_TABLE, "")]]
+                keys = [row.row_id.key for page in pages for row in page.rows]
+                return [key for key in keys if key.startswith(("limit/", "schedule"))]
+
+            assert len(rows()) == 2
+            fleet.unregister("desk-0")
+            await fleet.clock.sleep(75.0)
+            assert not rows()
+            assert not fleet.members["host-1"].node.limits.active()
+
+        run_desk(work, hosts=3, servers=1)
+
+    def test_unreadable_rows_are_ignored(self) -> None:
+        """Bytes of another writer in the rows of limits change nothing."""
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            for key in ("limit/other", "limit/empty"):
+                value = b"{}" if key.endswith("empty") else b"\xff"
+                fleet.store.put(RowId(table=HOSTS_TABLE, key=key), value)
+            await fleet.clock.sleep(1.0)
+            load = Load(desk)
+            await ask_evenly(desk, load, hosts=[0, 1], rate_per_s=10.0, for_s=2.0)
+            assert load.served == 20
+
+        run_desk(work, hosts=2, servers=2)
+
+
 class TestItemsAndOrders:
     def test_items_keep_to_the_limits_of_engines(self) -> None:
         """A job's items, their probes and moves reach limited engines as their limits allow."""
