--- a/src/verbenawind/gateway/limit_schedule.py
+++ b/src/verbenawind/gateway/limit_schedule.py
@@ -15,7 +15,8 @@
 
 # Turns that nobody used stay free for this long.
 _UNUSED_MS = 1000
-# For how long after a caller's request turns that are due are left to callers, and each of them.
+# After a caller's request, turns that are due are left to callers for a while; each of them for an
+# interval, and at most so long.
 _CALLERS_STAY_MS = 2000
 _MAX_LEFT_FREE_MS = 0.8 * _UNUSED_MS
 # The part of a limit that hosts may use without the store, in equal shares.
@@ -32,7 +33,7 @@
     next_ms: float = 0.0
     callers_ms: float = 0.0
 
-    def until_ms(self, rate_per_s: float, now_ms: float) -> float:
+    def latest_owed_ms(self, rate_per_s: float, now_ms: float) -> float:
         """Return the latest turn for work that no caller waits for.
 
         Where callers use the server, their next request finds a turn that is due.
--- a/src/verbenawind/gateway/turn_pool.py
+++ b/src/verbenawind/gateway/turn_pool.py
@@ -308,7 +308,7 @@
             rate_per_s,
             now_ms,
             wanted=len(others) + self._wanted_now,
-            until_ms=ahead.schedule.until_ms(rate_per_s, now_ms),
+            until_ms=ahead.schedule.latest_owed_ms(rate_per_s, now_ms),
         )
         reserved = len(ahead.turns_ms) + len(due.turns_ms)
         callers_told = now_ms - self._schedule.callers_ms < _TELL_CALLERS_MS
--- a/src/verbenawind/plugins/http1_client.py
+++ b/src/verbenawind/plugins/http1_client.py
@@ -15,6 +15,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.plugins.http1_sizes import MessageSizes, ResponseTooLong
 
 __all__ = ["Header", "Http1Client", "Http1Request", "Http1Response"]
 
@@ -27,13 +28,6 @@
 # A connection is not reused this close to its idle timeout, because the server may close it while
 # a request is in transit.
 _IDLE_MARGIN_S = 0.5
-# Sizes beyond which a response is an error. A server that sends bytes without end costs no more
-# than this and one read from the socket.
-_MAX_HEAD_BYTES = 64 * 1024
-_MAX_SKIPPED_MESSAGES = 16
-_MAX_SKIPPED_BYTES = 1024 * 1024
-# Chunk sizes, chunk extensions and trailers beyond a head's size, for each byte of the body.
-_MAX_OVERHEAD_PER_BYTE = 16
 # Size of a body that is read as a whole, unless the caller gives another one.
 _MAX_BODY_BYTES = 1024 * 1024
 # The operating system closes a connection whose sent data stays unacknowledged for this long, which
@@ -62,10 +56,6 @@
         return "\r\n".join([*lines, "\r\n"]).encode("latin-1") + self.body
 
 
-class _ResponseTooLong(Exception):
-    """Raised in a callback of the parser; its message names what is too long, and the limit."""
-
-
 class _Connection(asyncio.Protocol):
     """A connection that handles one request at a time."""
 
@@ -78,15 +68,7 @@
         self._echo: Header | None = None
         self._headers: list[Header] = []
         self._framed = False
-        self._in_head = True
-        # Sizes of the message under way: of its header lines, of what isn't its body, and of that.
-        self._header_bytes = 0
-        self._received_bytes = 0
-        self._body_bytes = 0
-        # Messages that were skipped for the pending request, and the size of their bodies.
-        self._skipped_messages = 0
-        self._skipped_bytes = 0
-        self._excess = ""
+        self._sizes = MessageSizes()
         self.reusable_until_s = 0.0
         self.used = False
         self.closed = False
@@ -107,14 +89,15 @@
         if self._response is None:
             self.close()
             return
-        self._received_bytes += len(data)
+        self._sizes.received(len(data))
         try:
             self._parser.feed_data(data)
-            self._check_unfinished()
+            if self._response is not None:
+                self._sizes.check_unfinished()
         except httptools.HttpParserUpgrade:
             self._fail("server switched protocols")
-        except (httptools.HttpParserError, _ResponseTooLong) as error:
-            self._fail(self._excess or f"invalid HTTP response: {error}")
+        except (httptools.HttpParserError, ResponseTooLong) as error:
+            self._fail(self._sizes.excess or f"invalid HTTP response: {error}")
 
     def eof_received(self) -> None:
         """Complete a response whose end is marked by the end of the connection."""
@@ -132,17 +115,14 @@
     def on_message_begin(self) -> None:
         """Start collecting headers; close the connection if no request is pending."""
         self._headers = []
-        self._in_head = True
-        self._header_bytes = self._received_bytes = self._body_bytes = 0
+        self._sizes.begin_message()
         if self._response is None:
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; those after the body are trailers, which nothing uses."""
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > _MAX_HEAD_BYTES:
-            self._exceed("the response's header lines", _MAX_HEAD_BYTES)
-        if not self._in_head:
+        self._sizes.add_header(len(name) + len(value))
+        if not self._sizes.in_head:
             return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -152,13 +132,10 @@
         status = self._parser.get_status_code()
         if response is None:
             return
-        self._in_head = False
-        self._header_bytes = self._received_bytes = 0
+        self._sizes.end_head()
         self._skip_message = 100 <= status < 200 or not self._echo_matches()
         if self._skip_message:
-            self._skipped_messages += 1
-            if self._skipped_messages > _MAX_SKIPPED_MESSAGES:
-                self._exceed("the number of messages before the response", _MAX_SKIPPED_MESSAGES)
+            self._sizes.skip_message()
             return
         names = {name.lower() for name, _ in self._headers}
         self._framed = bool(names & {"content-length", "transfer-encoding"}) or status in (204, 304)
@@ -166,11 +143,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the response; pause reading while too much is unread."""
-        self._body_bytes += len(body)
-        if self._skip_message:
-            self._skipped_bytes += len(body)
-            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
-                self._exceed("messages before the response", _MAX_SKIPPED_BYTES)
+        self._sizes.add_body(len(body), skipped=self._skip_message)
         if self._response is None or self._skip_message:
             return
         self._response.feed(body)
@@ -191,7 +164,7 @@
         """Send a request and direct the parsed response to *response*."""
         assert self._transport is not None
         self._response, self._echo = response, request.echo
-        self._skipped_messages = self._skipped_bytes = 0
+        self._sizes.begin_request()
         self.used = True
         self._transport.write(request.encode())
 
@@ -215,26 +188,6 @@
             and self._clock.monotonic_s() < self.reusable_until_s
         )
 
-    def _check_unfinished(self) -> None:
-        """Check the size of what the parser keeps for itself.
-
-        Raises:
-            _ResponseTooLong: A head, or what surrounds a body, is too long.
-        """
-        if self._response is None:
-            return
-        if self._in_head:
-            if self._received_bytes > _MAX_HEAD_BYTES:
-                self._exceed("the response's head", _MAX_HEAD_BYTES)
-            return
-        overhead_bytes = self._received_bytes - self._body_bytes
-        if overhead_bytes > _MAX_HEAD_BYTES + _MAX_OVERHEAD_PER_BYTE * self._body_bytes:
-            self._exceed("what surrounds the response's body", _MAX_HEAD_BYTES)
-
-    def _exceed(self, what: str, limit: int) -> None:
-        self._excess = f"{what} exceeded the limit of {limit}"
-        raise _ResponseTooLong(self._excess)
-
     def _echo_matches(self) -> bool:
         if self._echo is None:
             return True
--- a/tests/gateway/test_limit_schedule.py
+++ b/tests/gateway/test_limit_schedule.py
@@ -52,8 +52,8 @@
         """Work that nobody waits for takes only turns that callers had time to take."""
         with_callers = LimitSchedule(next_ms=9_000.0, callers_ms=9_900.0)
         without = LimitSchedule(next_ms=9_000.0, callers_ms=1_000.0)
-        assert with_callers.until_ms(4.0, 10_000.0) == 9_750.0
-        assert without.until_ms(4.0, 10_000.0) == 10_000.0
+        assert with_callers.latest_owed_ms(4.0, 10_000.0) == 9_750.0
+        assert without.latest_owed_ms(4.0, 10_000.0) == 10_000.0
 
 
 class TestTurnsWithoutTheStore:
