--- a/bench/limits.py
+++ b/bench/limits.py
@@ -1,7 +1,7 @@
 """Ways to share a server's request limit between hosts: what its callers get, and what it gets.
 
 Requests arrive at one host or at all of them, three times as many as the server takes. Each waits
-up to a second for its turn. The slots in the store are the product's code, the other ways models.
+up to a second for its turn. The turns in the store are the product's code, the other ways models.
 """
 
 import asyncio
@@ -157,7 +157,7 @@
     return ask
 
 
-def _slots_in_the_store(world: _World) -> Callable[[int], Awaitable[None]]:
+def _turns_in_the_store(world: _World) -> Callable[[int], Awaitable[None]]:
     store = MemoryRowStore(world.rng)
     allowances = []
     for host in range(world.hosts):
@@ -200,7 +200,7 @@
     "shares by demand in rows": _shares_by_demand,
     "one granting host": _one_granting_host,
     "few hosts": _few_hosts,
-    "slots in the store": _slots_in_the_store,
+    "turns in the store": _turns_in_the_store,
 }
 
 
