Reserve no more turns of engines than items wait for

Cause: with few items waiting, turns were reserved at every limited engine, and again while the request for them stood; the rest expired unused, so that the allowance lay unused. Now as many engines are asked as items wait, the soonest first, and a turn that is handed out counts against what was wanted. The limit is kept by the schedule as before.

tests/batches/test_engine_selection.py: one waiting item reserved turns of six engines, now of one.

--- a/src/verbenawind/batches/engine_selection.py
+++ b/src/verbenawind/batches/engine_selection.py
@@ -180,7 +180,9 @@
                 or (may_be_loaded and name in current)
             )
         ]
-        for engine in limited:
+        # Turns that no item uses are lost, so that no more are reserved than items wait.
+        soonest = sorted(limited, key=lambda engine: self._allowances.delay_s(engine.instance))
+        for engine in soonest[:waiting]:
             self._allowances.request(engine.instance, math.ceil(waiting / len(limited)))
 
     def _others_have_weights(
--- a/src/verbenawind/gateway/turn_pool.py
+++ b/src/verbenawind/gateway/turn_pool.py
@@ -362,6 +362,7 @@
             fitting = next((w for w in waiting if w.until_ms >= turn_ms), None)
             if fitting is None:
                 self._turns.append(permit)
+                self._wanted = max(0, self._wanted - 1)
                 continue
             waiting.remove(fitting)
             self._waiters.remove(fitting)
--- a/tests/batches/test_engine_selection.py
+++ b/tests/batches/test_engine_selection.py
@@ -20,7 +20,7 @@
 from verbenawind.batches.paces import RunPace
 from verbenawind.batches.types import JobRecord
 from verbenawind.clock import LoopClock
-from verbenawind.gateway import Directory, Instance, Route, RouteKind
+from verbenawind.gateway import Directory, Instance, Route, RouteKind, ServerLimits
 from verbenawind.kernel.messages import Location
 from verbenawind.standins.deployment import run_virtual
 
@@ -59,12 +59,14 @@
                 )
             )
         self.loading_soon: set[str] = set()
+        self.limits = ServerLimits(self.clock, lambda: int(self.clock.monotonic_s() * 1000))
+        self.allowances = create_allowances(self.clock, self.limits)
         self.selector = EngineSelector(
             self.directory,
             lambda _: 1,
             lambda _model, _service: frozenset(paces_s),
             lambda _model, name: name in self.loading_soon,
-            create_allowances(self.clock),
+            self.allowances,
             self.clock,
         )
         for name, pace_s in paces_s.items():
@@ -165,6 +167,22 @@
 
         run_virtual(work())
 
+    def test_no_more_turns_are_reserved_than_items_wait(self) -> None:
+        """One item waits for any of many limited engines: turns of the others would be lost."""
+
+        async def work() -> None:
+            await asyncio.sleep(10.0)
+            pool = Pool(**{f"engine-{number}": 0.01 for number in range(6)})
+            engines = list(pool.directory.backends(SERVICE))
+            for engine in engines:
+                pool.limits.answered(engine.instance, 1.0, 0, ends_limit=False)
+            assert pool.choose(pool.works[0]) is None
+            await asyncio.sleep(0.3)
+            reserved = [e for e in engines if pool.allowances.available(e.instance)]
+            assert len(reserved) == 1
+
+        run_virtual(work())
+
     def test_one_item_at_a_time_tries_an_engine_that_refuses(self) -> None:
         """While an engine loads, waiting items are sent to it one per interval, not all at once."""
 
