--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -219,7 +219,7 @@
     def _clear(self, fingerprint: str, *, least_ends: int) -> None:
         standing = self.history.standing(fingerprint, self._store_ms())
         if standing.ends >= least_ends:
-            self._log.info("suspect_cleared", fingerprint=fingerprint)
+            self._log.info("suspect_cleared", fingerprint=fingerprint, ends=standing.ends)
             self.records.clear(fingerprint)
 
     def _answered_lately(self, fingerprint: str) -> bool:
@@ -289,6 +289,8 @@
             "request_tried",
             request_id=self._request.request_id,
             fingerprint=self.fingerprint,
+            convicted=standing.fingerprint,
+            doubtful=standing.doubtful,
             ends=standing.ends,
             trials=standing.trials + 1,
         )
@@ -363,6 +365,8 @@
             "request_refused_as_convicted",
             request_id=self._request.request_id,
             fingerprint=self.fingerprint,
+            convicted=standing.fingerprint,
+            doubtful=standing.doubtful,
             crashes=standing.ends,
             trials=standing.trials,
             reason=reason,
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -82,10 +82,13 @@
         "sends",
         "unanswered_at_s",
         "was_removed",
+        "watched_at_s",
     )
 
-    def __init__(self, backend: Backend) -> None:
+    def __init__(self, backend: Backend, watched_at_s: float) -> None:
         self.backend = backend
+        # Times of its first and its latest unanswered send.
+        self.watched_at_s = watched_at_s
         self.unanswered_at_s = 0.0
         # Time at which an answer from its address was first noticed, None before.
         self.answered_at_s: float | None = None
@@ -175,7 +178,7 @@
     def send_broke(self, backend: Backend, send: UnansweredSend) -> None:
         """Record that a send broke after its server may have run it, and probe the server."""
         if backend.leaving:
-            self._record(backend, EndEvidence.LEAVING, requests=1)
+            self._record(backend, EndEvidence.LEAVING, None)
             return
         watch = self._watch(backend, send)
         if watch is not None and watch.probe is None and not watch.ended:
@@ -234,7 +237,7 @@
             if len(self._watches) >= _MAX_WATCHES:
                 self._log.warning("server_end_not_watched", server=backend.instance.instance_id)
                 return None
-            watch = self._watches[incarnation] = _Watch(backend)
+            watch = self._watches[incarnation] = _Watch(backend, self._clock.monotonic_s())
         if len(watch.sends) < _MAX_SENDS:
             watch.sends[send] = None
         watch.unanswered_at_s = self._clock.monotonic_s()
@@ -309,7 +312,7 @@
     def _decide(self, watch: _Watch, evidence: EndEvidence) -> None:
         watch.ended = True
         watch.decided_at_s = self._clock.monotonic_s()
-        self._record(watch.backend, evidence, requests=len(watch.sends))
+        self._record(watch.backend, evidence, watch)
         self._notify(watch)
 
     def _notify(self, watch: _Watch) -> None:
@@ -324,12 +327,12 @@
 
     def _drop(self, incarnation: str, watch: _Watch, evidence: EndEvidence) -> None:
         del self._watches[incarnation]
-        self._record(watch.backend, evidence, requests=len(watch.sends))
+        self._record(watch.backend, evidence, watch)
         if watch.ended:
             for listener in self._on_revoked:
                 listener(incarnation)
 
-    def _record(self, backend: Backend, evidence: EndEvidence, *, requests: int) -> None:
+    def _record(self, backend: Backend, evidence: EndEvidence, watch: _Watch | None) -> None:
         self.counts[evidence] += 1
         self._log.info(
             "server_end_judged",
@@ -337,6 +340,7 @@
             started_ms=backend.instance.started_ms,
             ended=evidence in _ENDED,
             reason=evidence.value,
-            requests=requests,
+            requests=len(watch.sends) if watch is not None else 1,
+            undecided_s=round(self._clock.monotonic_s() - watch.watched_at_s, 3) if watch else 0.0,
             view_age_s=round(self._registry_age_s(), 2),
         )
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -314,7 +314,7 @@
     ),
     "server_end_judged": _event(
         "It was decided whether a server that left requests unanswered had ended.",
-        "server started_ms ended reason requests view_age_s",
+        "server started_ms ended reason requests undecided_s view_age_s",
     ),
     "server_end_not_watched": _event(
         "Too many servers are watched after unanswered requests.", "server"
@@ -325,14 +325,14 @@
     "request_convicted": _event(
         "Similar requests are temporarily refused.", "fingerprint crashes term_s"
     ),
-    "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint"),
+    "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint ends"),
     "request_refused_as_convicted": _event(
         "A request was refused because servers ended under such requests.",
-        "request_id fingerprint crashes trials reason",
+        "request_id fingerprint convicted doubtful crashes trials reason",
     ),
     "request_tried": _event(
         "A convicted request is sent again, once for all hosts.",
-        "request_id fingerprint ends trials",
+        "request_id fingerprint convicted doubtful ends trials",
     ),
     "trial_not_claimed": _event(
         "A convicted request is not sent: another host tries it, or the store is away.",
