--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -66,6 +66,12 @@
     crash: Annotated[
         str, Meta(description="Identifier of the crash that made the request a suspect.")
     ] = ""
+    convicted: Annotated[
+        str,
+        Meta(
+            description="Fingerprint that is convicted: of the caller's request or of all callers'."
+        ),
+    ] = ""
     crashes: Annotated[int, Meta(description="Crashes of servers while running such requests.")] = 0
     cursor: Annotated[Any, Meta(description="Cursor of a trainer in its deliveries.")] = None
     desired_groups: Annotated[
@@ -73,6 +79,10 @@
     ] = 0
     detail: Annotated[str, Meta(description="Message or status from the server.")] = ""
     digest: Annotated[str, Meta(description="Digest of the document.")] = ""
+    doubtful: Annotated[
+        bool,
+        Meta(description="Whether the servers may have ended for another cause than the request."),
+    ] = False
     draining: Annotated[bool, Meta(description="Whether the server is draining.")] = False
     end: Annotated[str, Meta(description="Outcome of the run.")] = ""
     ended: Annotated[
@@ -251,6 +261,9 @@
     total: Annotated[int, Meta(description="Number of items of the job.")] = 0
     trainer: Annotated[str, Meta(description="Trainer name.")] = ""
     trials: Annotated[int, Meta(description="Number of trials of the request so far.")] = 0
+    undecided_s: Annotated[
+        float, Meta(description="Time from the first unanswered request to the decision.")
+    ] = 0.0
     unfinished: Annotated[int, Meta(description="Number of items without a result.")] = 0
     unit: Annotated[Any, Meta(description="Unit of work.")] = None
     units: Annotated[Any, Meta(description="Units of work.")] = None
