--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -1,33 +1,34 @@
 """Refuses requests under which servers end again and again.
 
 Each host reports which callers' requests its servers left unanswered when their processes ended.
-Once that has happened to a request at several servers, at whichever hosts, every host refuses it
-for a time. A request that any server has answered lately is never suspected, so a popular request
-that happens to run on failing servers is not refused. Answers to one caller say nothing for the
-same request of another.
+Once that has happened to a request at several servers, at whichever hosts and from whichever
+callers, every host refuses it for a time. Answers are weighed against the ends, so a popular
+request that happens to run on failing servers is not refused. A server's own error is no answer.
 """
 
-from collections import OrderedDict
+import math
 from collections.abc import Callable, Collection
 
 import structlog
 
 from verbenawind.clock import Clock
 from verbenawind.errors import Outcome, RequestConvicted
-from verbenawind.gateway.crash_history import CrashHistory, CrashReport, Standing
+from verbenawind.gateway.answer_memory import AnswerMemory
+from verbenawind.gateway.crash_history import CrashHistory, Standing
 from verbenawind.gateway.crash_records import CrashRecords
+from verbenawind.gateway.crash_rows import CrashReport
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.fingerprints import base_fingerprint, request_fingerprint
 from verbenawind.gateway.ports import CallerRequest
-from verbenawind.gateway.server_ends import ServerEnd, ServerEndMonitor, UnansweredSend
+from verbenawind.gateway.server_ends import ServerEndMonitor
+from verbenawind.gateway.unanswered_sends import SendInFlight, ServerEnd, UnansweredSend
 
 __all__ = ["CrashGuard", "GuardedRequest"]
 
 _CHECK_PERIOD_S = 1.0
 _SWEEP_PERIOD_S = 5.0
-# A request that was answered within this time isn't suspected.
-_ANSWER_MEMORY_S = 60.0
-_MAX_REMEMBERED = 1024
+# Other hosts are told again after this time that a suspected request is answered.
+_CLEARANCE_AGE_MS = 20_000
 # Reports of other hosts are checked against the answers that this host got from the same process.
 # The margin covers answers under way and the difference between the hosts' views of the time.
 _CHECKED_REPORTS_MS = 30_000
@@ -40,6 +41,14 @@
 _LAST_SERVER_RETRY_S = 1.0
 # Servers whose ends were reported within this time are taken for down until they register again.
 _DOWN_MS = 10_000
+# Age of a claim up to which its trial may be under way, or its result on the way to this host.
+_TRIAL_MS = 1_000
+# How long other callers wait for the result of a trial.
+_TRIAL_RESULT_S = 0.3
+_TRIAL_POLL_S = 0.02
+# Shortest time after which a send that no server answers is overdue.
+_MIN_PATIENCE_S = 1.0
+_SERVER_ERROR = 500
 # Shortest time to return for a caller that met the trial of another one.
 _MIN_RETRY_S = 0.25
 
@@ -57,7 +66,7 @@
     """
 
     __slots__ = (
-        "_answered_at_s",
+        "_answers",
         "_clock",
         "_is_assigned",
         "_log",
@@ -86,7 +95,7 @@
         self._is_assigned = is_assigned
         self._clock = clock
         self._store_ms = store_ms
-        self._answered_at_s: OrderedDict[str, float] = OrderedDict()
+        self._answers = AnswerMemory(clock)
         # Reported processes that had answered this host since, at the latest checks.
         self._refuted: dict[str, int] = {}
         self._log = structlog.get_logger("crash_guard")
@@ -99,12 +108,8 @@
     @property
     def convicted(self) -> Collection[str]:
         """The fingerprints of the requests that run only as claimed trials."""
-        now_ms = self._store_ms()
-        return [
-            fingerprint
-            for fingerprint in self.history.fingerprints()
-            if self.history.standing(fingerprint, now_ms).convicted
-        ]
+        standings = [self.standing(fingerprint) for fingerprint in self.history.fingerprints()]
+        return {standing.fingerprint for standing in standings if standing.convicted}
 
     def open(self, request: CallerRequest, service: str) -> "GuardedRequest":
         """Return a request to a service as it is guarded across its sends."""
@@ -116,32 +121,57 @@
         return self.monitor.is_down_to_one(service, ended)
 
     def standing(self, fingerprint: str) -> Standing:
-        """Return what is known of a request; nothing is held against one answered lately."""
-        return self._checked(fingerprint, undecided=0)
+        """Return what is known of a request."""
+        return self._standing(fingerprint, undecided=0)
 
     def standing_on_arrival(self, fingerprint: str) -> Standing:
         """Return what is known of a request, with the servers that may have ended under it."""
-        return self._checked(fingerprint, undecided=self.monitor.pending(fingerprint))
+        return self._standing(fingerprint, undecided=self.monitor.pending(fingerprint))
+
+    async def standing_after_trial(self, fingerprint: str) -> Standing:
+        """Return what is known of a request on arrival.
+
+        A caller under whose request no process ended waits a moment for the result of the trial
+        that another caller's request is having.
+        """
+        ends_at_s = self._clock.monotonic_s() + _TRIAL_RESULT_S
+        while True:
+            standing = self.standing_on_arrival(fingerprint)
+            claim = self.history.claim(standing.fingerprint)
+            if (
+                not standing.convicted
+                or standing.own_ends
+                or claim is None
+                or claim.claimed_ms < self._store_ms() - _TRIAL_MS
+                or claim.refused_until_ms <= self._store_ms()
+                or self._clock.monotonic_s() >= ends_at_s
+            ):
+                return standing
+            await self._clock.sleep(_TRIAL_POLL_S)
 
     def answered(self, fingerprint: str) -> None:
-        """Record that a server answered a request, which clears it of earlier ends.
+        """Record that a server answered a request.
 
-        A bystander of a crash that is answered elsewhere is taken out of this host's report; the
-        reports of other hosts are overruled.
+        A bystander of one end that is answered elsewhere is taken out of this host's report; what
+        other hosts reported is weighed against the answer.
         """
-        base = base_fingerprint(fingerprint)
-        for name in {fingerprint, base}:
-            self._answered_at_s[name] = self._clock.monotonic_s()
-            self._answered_at_s.move_to_end(name)
-        while len(self._answered_at_s) > _MAX_REMEMBERED:
-            self._answered_at_s.popitem(last=False)
-        if not self.history.empty:
+        self._answers.add(fingerprint)
+        if self.history.empty:
+            return
+        if self.history.unanswered_ends(fingerprint) == 1:
             self.records.withdraw(fingerprint)
-            self._clear(fingerprint, least_ends=1)
-            if base != fingerprint and self.history.is_held_against_all(base, self._store_ms()):
-                self._log.info("suspect_cleared", fingerprint=base)
+        self._clear(fingerprint, least_ends=1)
+        base = base_fingerprint(fingerprint)
+        if base != fingerprint and self.history.is_reported(base):
+            known = self.history.clearance(base)
+            if known is None or known.cleared_ms < self._store_ms() - _CLEARANCE_AGE_MS:
                 self.records.clear(base)
 
+    def passed(self, fingerprint: str) -> None:
+        """Record that a server answered the trial of a request of all callers."""
+        self._log.info("trial_passed", fingerprint=fingerprint)
+        self.records.pass_trial(fingerprint)
+
     def now_ms(self) -> int:
         """Return the store's time, which hosts can compare."""
         return self._store_ms()
@@ -160,23 +190,26 @@
                 self.records.sweep(self._is_assigned)
 
     def _server_ended(self, end: ServerEnd) -> None:
-        sends = [send for send in end.sends if not self._answered_lately(send.fingerprint)]
-        self.records.report(end.incarnation, end.service, sends)
+        self.records.report(end.incarnation, end.service, end.sends, certain=end.certain)
 
     def _reported(self, report: CrashReport, added: Collection[str], own: bool) -> None:
         """Log what a report changes, and clear requests that this host knows to be sound."""
         now_ms = self._store_ms()
+        if report.certain and not own:
+            self.monitor.end_reported(report.incarnation)
         for fingerprint in added:
-            if self._answered_lately(fingerprint):
+            if self._answers.count(fingerprint):
                 self._clear(fingerprint, least_ends=2)
+            standing = self.standing(fingerprint)
+            if not standing.ends:
                 continue
-            standing = self.history.standing(fingerprint, now_ms)
             if own or standing.ends > 1:
                 self._log.warning(
                     "request_suspected",
                     fingerprint=fingerprint,
                     crash=report.incarnation,
                     ends=standing.ends,
+                    certain=report.certain,
                     age_s=round(max(0, now_ms - report.ended_ms) / 1000, 3),
                 )
             if standing.convicted:
@@ -206,28 +239,17 @@
                 self.records.revoke(incarnation)
         self._refuted = refuted
 
-    def _checked(self, fingerprint: str, *, undecided: int) -> Standing:
-        """Return what is known of a request, apart from what answers at this host refute."""
-        if self._answered_lately(fingerprint):
-            return Standing(fingerprint=fingerprint)
-        standing = self.history.standing(fingerprint, self._store_ms(), undecided=undecided)
-        if standing.fingerprint != fingerprint and self._answered_lately(standing.fingerprint):
-            # Somebody got an answer, so it isn't convicted for all callers.
-            return Standing(fingerprint=fingerprint)
-        return standing
+    def _standing(self, fingerprint: str, *, undecided: int) -> Standing:
+        return self.history.standing(
+            fingerprint, self._store_ms(), undecided=undecided, answers=self._answers.count
+        )
 
     def _clear(self, fingerprint: str, *, least_ends: int) -> None:
-        standing = self.history.standing(fingerprint, self._store_ms())
-        if standing.ends >= least_ends:
-            self._log.info("suspect_cleared", fingerprint=fingerprint, ends=standing.ends)
+        ends = self.history.unanswered_ends(fingerprint)
+        if ends >= least_ends:
+            self._log.info("suspect_cleared", fingerprint=fingerprint, ends=ends)
             self.records.clear(fingerprint)
 
-    def _answered_lately(self, fingerprint: str) -> bool:
-        answered_at_s = self._answered_at_s.get(fingerprint)
-        if answered_at_s is None:
-            return False
-        return self._clock.monotonic_s() - answered_at_s <= _ANSWER_MEMORY_S
-
 
 class GuardedRequest:
     """A caller's request across its sends.
@@ -273,7 +295,7 @@
         """
         if self._is_unsuspicious:
             return
-        standing = self._guard.standing_on_arrival(self.fingerprint)
+        standing = await self._guard.standing_after_trial(self.fingerprint)
         if not standing.convicted:
             self._spare_last_server(Outcome.NOT_RUN)
             return
@@ -311,20 +333,41 @@
             raise self._refusal(outcome)
         self._spare_last_server(outcome)
 
-    def answered(self) -> None:
-        """Record that a server answered the request."""
-        if not self._request.owed:
-            self._guard.answered(self.fingerprint)
+    def begin(self, backend: Backend, patience_s: float) -> SendInFlight:
+        """Follow a send of the request, until one of the methods below ends it.
+
+        Args:
+            backend: The server that it is sent to.
+            patience_s: Time after which the server is probed if it has not answered anything.
+        """
+        if self._request.owed:
+            # Never suspected, so its server isn't watched.
+            return SendInFlight(backend, UnansweredSend(fingerprint="", sent_ms=0))
+        send = UnansweredSend(fingerprint=self.fingerprint, sent_ms=self.now_ms())
+        return self._guard.monitor.begin(backend, send, max(patience_s, _MIN_PATIENCE_S))
+
+    def answered(self, send: SendInFlight, status: int) -> None:
+        """Record that a server answered the request, which may have been an error of its own."""
+        self._guard.monitor.finish(send)
+        if self._request.owed or status >= _SERVER_ERROR:
+            return
+        self._guard.answered(self.fingerprint)
+        if self.is_trial:
+            self._guard.passed(self._tried)
 
-    def broke(self, backend: Backend, sent_ms: int) -> None:
+    def broke(self, send: SendInFlight) -> None:
         """Record that a send broke after the server may have run the request."""
         if not self._request.owed:
-            self._guard.monitor.send_broke(backend, self._send(sent_ms))
+            self._guard.monitor.send_broke(send)
 
-    def unanswered(self, backend: Backend, sent_ms: int) -> None:
+    def unanswered(self, send: SendInFlight) -> None:
         """Record that a send was given up without an answer."""
         if not self._request.owed:
-            self._guard.monitor.send_unanswered(backend, self._send(sent_ms))
+            self._guard.monitor.send_unanswered(send)
+
+    def not_run(self, send: SendInFlight) -> None:
+        """Record that a server did not run a send, or need not answer it any more."""
+        self._guard.monitor.finish(send)
 
     def finished(self, outcome: Outcome) -> None:
         """Give back the claim of a trial in which no server ran the request."""
@@ -346,12 +389,9 @@
     def _pending(self) -> int:
         return self._guard.monitor.pending(self.fingerprint)
 
-    def _send(self, sent_ms: int) -> UnansweredSend:
-        return UnansweredSend(fingerprint=self.fingerprint, sent_ms=sent_ms)
-
     def _spare_last_server(self, outcome: Outcome) -> None:
         """Refuse a suspect whose next run could leave its service without a server."""
-        ends = self._guard.standing(self.fingerprint).ends
+        ends = self._guard.standing(self.fingerprint).own_ends
         if ends >= _ENDS_FOR_LAST_SERVER and self._guard.is_down_to_one(self._service):
             raise self._refusal(outcome, "its service has one server left", _LAST_SERVER_RETRY_S)
 
@@ -375,5 +415,6 @@
             f"request {self._request.request_id} is refused: the processes of {standing.ends} "
             "servers ended under such requests",
             outcome=outcome,
-            retry_after_s=round(max(_MIN_RETRY_S, retry_after_s, remaining_s), 2),
+            # Rounded up, as the caller is refused once more if it returns too early.
+            retry_after_s=math.ceil(max(_MIN_RETRY_S, retry_after_s, remaining_s) * 100) / 100,
         )
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -13,8 +13,9 @@
 
 from verbenawind.clock import Clock
 from verbenawind.errors import RowConflict, StoreUnavailable
-from verbenawind.gateway.crash_history import Clearance, CrashHistory, CrashReport, TrialClaim
-from verbenawind.gateway.server_ends import UnansweredSend
+from verbenawind.gateway.crash_history import CrashHistory
+from verbenawind.gateway.crash_rows import Clearance, CrashReport, TrialClaim
+from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.ids import digest_hex, new_id
 from verbenawind.kernel.row_ports import (
     RowCheck,
@@ -137,8 +138,22 @@
         except msgspec.MsgspecError as error:
             self._log.warning("crash_row_unreadable", key=key, error=str(error))
 
-    def report(self, incarnation: str, service: str, sends: Collection[UnansweredSend]) -> None:
-        """Record the requests that this host had left unanswered on a process that ended."""
+    def report(
+        self,
+        incarnation: str,
+        service: str,
+        sends: Collection[UnansweredSend],
+        *,
+        certain: bool = True,
+    ) -> None:
+        """Record the requests that this host had left unanswered on a process that ended.
+
+        Args:
+            incarnation: The process.
+            service: The service of its server.
+            sends: The requests.
+            certain: Whether it ended, or only doesn't respond to connections.
+        """
         digest = digest_hex(incarnation.encode())[:_INCARNATION_DIGITS]
         key = f"{_REPORT_PREFIX}{digest}/{self._owner}"
         known = self._history.report(key)
@@ -151,6 +166,7 @@
             service=service,
             ended_ms=known.ended_ms if known else self._store_ms(),
             sends=tuple(newest[:_MAX_SENDS]),
+            certain=certain or (known is not None and known.certain),
         )
         if report != known:
             self._put_report(key, report, own=True)
@@ -176,8 +192,12 @@
             self._write(key, None)
 
     def clear(self, fingerprint: str) -> None:
-        """Record that a server answered a suspected request."""
-        clearance = Clearance(cleared_ms=self._store_ms())
+        """Record that a server answered a suspected request, of one caller or of all callers."""
+        self._put_clearance(
+            fingerprint, self._history.next_clearance(fingerprint, self._store_ms())
+        )
+
+    def _put_clearance(self, fingerprint: str, clearance: Clearance) -> None:
         self._history.put_clearance(fingerprint, clearance)
         self._write(f"{_CLEARANCE_PREFIX}{fingerprint}", msgspec.json.encode(clearance))
 
@@ -206,8 +226,13 @@
         self._history.put_claim(fingerprint, claim)
         return True
 
+    def pass_trial(self, fingerprint: str) -> None:
+        """Record that a server answered a claimed trial, which is given back."""
+        self._put_clearance(fingerprint, self._history.next_pass(fingerprint, self._store_ms()))
+        self.release(fingerprint)
+
     def release(self, fingerprint: str) -> None:
-        """Give back a claimed trial in which no server ran the request."""
+        """Give back a claimed trial that ended no server."""
         claim = self._history.claim(fingerprint)
         if claim is None:
             return
@@ -246,8 +271,7 @@
             self._wake.clear()
             await self._clock.sleep(_GATHER_S)
             while self._pending:
-                if not await self._flush():
-                    await self._clock.sleep(_RETRY_S)
+                await self._clock.sleep(await self._flush())
 
     def _put_report(self, key: str, report: CrashReport | None, *, own: bool) -> None:
         added = self._history.put_report(key, report)
@@ -261,8 +285,8 @@
         self._pending[key] = value
         self._wake.set()
 
-    async def _flush(self) -> bool:
-        """Write the next pending rows, and return whether the store took or superseded them."""
+    async def _flush(self) -> float:
+        """Write the next pending rows, and return the time to wait before the others."""
         batch = dict(list(self._pending.items())[:_MAX_BATCH])
         checks, writes = [], []
         for key, value in batch.items():
@@ -290,14 +314,14 @@
                 if key.startswith(_CLAIM_PREFIX):
                     # A later claim of another host stands.
                     self._pending.pop(key, None)
-            return False
+            return _GATHER_S
         except StoreUnavailable as error:
             self._log.info("crash_row_not_written", key=next(iter(batch)), reason=error.message)
-            return False
+            return _RETRY_S
         for key, value in batch.items():
             if key in self._pending and self._pending[key] == value:
                 del self._pending[key]
-        return True
+        return 0.0
 
 
 def _decode(value: bytes | None, row_type: type[T]) -> T | None:
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -37,6 +37,8 @@
 # Each request earns a fraction of a hedge token, up to a maximum number of tokens.
 _REQUESTS_PER_HEDGE_TOKEN = 4.0
 _MAX_HEDGE_TOKENS = 5.0
+# A send that takes so many times the target latency is overdue.
+_OVERDUE_TARGETS = 2.0
 # Sends per attempt that the route allows; only sends that a server refused go beyond it.
 _SENDS_PER_ATTEMPT = 2
 _MIN_SEND_S = 0.005
@@ -177,7 +179,7 @@
         try:
             while True:
                 if not sends:
-                    if exchange.history.sends:
+                    if exchange.history.sends and exchange.history.may_send:
                         await guarded.admit_again(exchange.history.outcome)
                     if (task := await self._start_next_send(exchange)) is not None:
                         sends.add(task)
@@ -351,7 +353,8 @@
         self, exchange: _Exchange, backend: Backend, remaining_s: float, permit: Permit | None
     ) -> Reply:
         started_s = self._clock.monotonic_s()
-        sent_ms = exchange.guarded.now_ms()
+        guarded = exchange.guarded
+        in_flight = guarded.begin(backend, _OVERDUE_TARGETS * exchange.route.target_latency_s)
         attempt = Attempt(
             request=exchange.request,
             remaining_s=remaining_s,
@@ -367,16 +370,18 @@
             response = reply.rest
         except LimitReached as error:
             exchange.history.refused()
+            guarded.not_run(in_flight)
             self._log_failure(exchange, backend, error)
             raise
         except (AdmissionRefused, BackendServerUnreachable) as error:
             exchange.history.refused()
+            guarded.not_run(in_flight)
             backend.failed()
             self._log_failure(exchange, backend, error)
             raise
         except BackendServerFailed as error:
             exchange.history.failed(error)
-            exchange.guarded.broke(backend, sent_ms)
+            guarded.broke(in_flight)
             backend.failed()
             self._log_failure(exchange, backend, error)
             raise
@@ -384,11 +389,12 @@
             if response is not None:
                 response.close()
             if exchange.answered:
+                guarded.not_run(in_flight)
                 backend.record_unanswered(self._clock.monotonic_s() - started_s)
             else:
-                exchange.guarded.unanswered(backend, sent_ms)
+                guarded.unanswered(in_flight)
             raise
-        exchange.guarded.answered()
+        guarded.answered(in_flight, reply.status)
         backend.succeeded(self._clock.monotonic_s() - started_s)
         return reply
 
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -1,25 +1,38 @@
 """Decides whether a server's process has ended while it had unanswered requests.
 
 A send that breaks shows only that a connection is lost. The process has ended if its address
-refuses connections, or if the registry names a later process in its place. A server that announced
-that it leaves ends as planned. A decision is revoked if the same process answers or registers
-again, as after a network partition that resets connections.
+refuses connections, if the registry names a later process in its place, or if another host has
+found that it ended. A process that leaves requests unanswered and connections without a response
+may have ended, which is told to the other hosts as uncertain. A server that announced that it
+leaves ends as planned. A decision is revoked if the same process answers or registers again, as
+after a network partition that resets connections.
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Collection
-from enum import StrEnum
 
 import structlog
 
 from verbenawind.clock import Clock
 from verbenawind.gateway.directory import Backend, Directory
 from verbenawind.gateway.server_limits import instance_incarnation
-from verbenawind.kernel.messages import Value
+from verbenawind.gateway.unanswered_sends import (
+    EndEvidence,
+    SendInFlight,
+    ServerEnd,
+    UnansweredSend,
+)
 from verbenawind.kernel.probe_ports import AddressProbe, ProbeResult
 
-__all__ = ["EndEvidence", "ServerEnd", "ServerEndMonitor", "UnansweredSend", "incarnation_of"]
+__all__ = [
+    "EndEvidence",
+    "SendInFlight",
+    "ServerEnd",
+    "ServerEndMonitor",
+    "UnansweredSend",
+    "incarnation_of",
+]
 
 # How long an incarnation is watched after its last unanswered send: registrations expire after
 # three heartbeat intervals, and a crashed server is back after some seconds.
@@ -30,39 +43,15 @@
 _ANSWER_MARGIN_S = 0.1
 # A successor under the same id may answer before the registry tells of it.
 _REGISTRATION_LAG_S = 2.0
+# Time from an abandoned send to the probe of its server, which may end a little later.
+_ABANDONED_PROBE_DELAY_S = 0.25
 _MAX_WATCHES = 256
 _MAX_SENDS = 64
 
 
-class EndEvidence(StrEnum):
-    """What shows whether a watched process has ended."""
-
-    REFUSED = "its address refuses connections"
-    REPLACED = "a later process registered in its place"
-    EXPIRED = "its registration expired and its address does not answer"
-    LEAVING = "it had announced that it leaves"
-    ANSWERED = "it answered again"
-    REGISTERED = "the same process is registered again"
-    UNKNOWN = "nothing shows that it ended"
-
-
-_ENDED = frozenset({EndEvidence.REFUSED, EndEvidence.REPLACED, EndEvidence.EXPIRED})
-
-
-class UnansweredSend(Value, frozen=True, kw_only=True):
-    """A request that a server did not answer; ``sent_ms`` is the store's time."""
-
-    fingerprint: str
-    sent_ms: int
-
-
-class ServerEnd(Value, frozen=True, kw_only=True):
-    """The end of a server's process without notice, and the sends that it left unanswered."""
-
-    incarnation: str
-    server: str
-    service: str
-    sends: tuple[UnansweredSend, ...]
+_ENDED = frozenset(
+    {EndEvidence.REFUSED, EndEvidence.REPLACED, EndEvidence.REPORTED, EndEvidence.EXPIRED}
+)
 
 
 def incarnation_of(backend: Backend) -> str:
@@ -80,8 +69,10 @@
         "ended",
         "probe",
         "sends",
+        "silent",
         "unanswered_at_s",
         "was_removed",
+        "was_replaced",
         "watched_at_s",
     )
 
@@ -95,8 +86,12 @@
         self.sends: dict[UnansweredSend, None] = {}
         self.probe: asyncio.Task[ProbeResult] | None = None
         self.ended = False
+        # Whether it does not respond to connections, which was told as an uncertain end.
+        self.silent = False
         self.decided_at_s = 0.0
         self.was_removed = False
+        # Whether the registry has ever named a later process in its place.
+        self.was_replaced = False
 
 
 class ServerEndMonitor:
@@ -112,6 +107,7 @@
     __slots__ = (
         "_clock",
         "_directory",
+        "_in_flight",
         "_log",
         "_on_end",
         "_on_revoked",
@@ -133,6 +129,7 @@
         self._clock = clock
         self._registry_age_s = registry_age_s
         self._watches: dict[str, _Watch] = {}
+        self._in_flight: set[SendInFlight] = set()
         self._on_end: list[Callable[[ServerEnd], None]] = []
         self._on_revoked: list[Callable[[str], None]] = []
         self._log = structlog.get_logger("server_ends")
@@ -148,11 +145,14 @@
         self._on_revoked.append(listener)
 
     def pending(self, fingerprint: str) -> int:
-        """Return on how many watched incarnations a request was unanswered, without a decision."""
+        """Return on how many watched incarnations a request was unanswered, without a decision.
+
+        Those that were told as uncertain ends are not counted.
+        """
         return sum(
             any(send.fingerprint == fingerprint for send in watch.sends)
             for watch in self._watches.values()
-            if not watch.ended
+            if not (watch.ended or watch.silent)
         )
 
     def answered_since(self, incarnation: str, at_s: float) -> bool:
@@ -175,22 +175,61 @@
         left = [s for s in servers if not s.suspected and incarnation_of(s) not in ended]
         return len(left) <= 1 < len(servers)
 
-    def send_broke(self, backend: Backend, send: UnansweredSend) -> None:
+    def begin(self, backend: Backend, send: UnansweredSend, patience_s: float) -> SendInFlight:
+        """Follow a send until it is answered or given up.
+
+        Args:
+            backend: The server.
+            send: The request, and when it was sent.
+            patience_s: Time after which the server is probed if it has not answered anything.
+        """
+        now_s = self._clock.monotonic_s()
+        in_flight = SendInFlight(backend, send, began_at_s=now_s, overdue_at_s=now_s + patience_s)
+        self._in_flight.add(in_flight)
+        return in_flight
+
+    def finish(self, in_flight: SendInFlight) -> None:
+        """Stop following a send; if it was watched as overdue, it was answered."""
+        self._in_flight.discard(in_flight)
+        incarnation = incarnation_of(in_flight.backend)
+        watch = self._watches.get(incarnation)
+        if watch is None or watch.ended or in_flight.send not in watch.sends:
+            return
+        del watch.sends[in_flight.send]
+        if not watch.sends:
+            self._drop(incarnation, watch, EndEvidence.ANSWERED)
+
+    def send_broke(self, in_flight: SendInFlight) -> None:
         """Record that a send broke after its server may have run it, and probe the server."""
+        self._in_flight.discard(in_flight)
+        backend = in_flight.backend
         if backend.leaving:
             self._record(backend, EndEvidence.LEAVING, None)
             return
-        watch = self._watch(backend, send)
-        if watch is not None and watch.probe is None and not watch.ended:
-            watch.probe = asyncio.get_running_loop().create_task(
-                self._probe.connect(backend.instance.address)
-            )
-            watch.probe.add_done_callback(lambda task: self._probed(watch, task))
+        watch = self._watch(backend, in_flight.send)
+        if watch is not None:
+            self._start_probe(watch)
+
+    def send_unanswered(self, in_flight: SendInFlight) -> None:
+        """Record that a send was given up without an answer, and probe the server a little later.
 
-    def send_unanswered(self, backend: Backend, send: UnansweredSend) -> None:
-        """Record that a send was given up without an answer."""
-        if not backend.leaving:
-            self._watch(backend, send)
+        The process may end only after its caller has left.
+        """
+        self._in_flight.discard(in_flight)
+        if in_flight.backend.leaving:
+            return
+        watch = self._watch(in_flight.backend, in_flight.send)
+        if watch is not None:
+            self._start_probe(watch, delay_s=_ABANDONED_PROBE_DELAY_S)
+
+    def end_reported(self, incarnation: str) -> None:
+        """Apply another host's finding that a process has ended to what this host sent it."""
+        for in_flight in [f for f in self._in_flight if incarnation_of(f.backend) == incarnation]:
+            if not in_flight.backend.leaving:
+                self._watch(in_flight.backend, in_flight.send)
+        watch = self._watches.get(incarnation)
+        if watch is not None and not watch.ended and not watch.backend.announced_leaving:
+            self._decide(watch, EndEvidence.REPORTED)
 
     @property
     def watching(self) -> bool:
@@ -210,10 +249,12 @@
 
     def check(self) -> None:
         """Apply what registry and answers show about the watched incarnations."""
+        self._watch_overdue()
         if not self._watches:
             return
         now_s = self._clock.monotonic_s()
         for incarnation, watch in list(self._watches.items()):
+            replaced = self._is_replaced(watch)
             life = self._evidence_of_life(watch)
             if life is not None:
                 self._drop(incarnation, watch, life)
@@ -222,13 +263,40 @@
                     del self._watches[incarnation]
             elif watch.backend.announced_leaving:
                 self._drop(incarnation, watch, EndEvidence.LEAVING)
-            elif self._is_replaced(watch):
+            elif replaced:
                 self._decide(watch, EndEvidence.REPLACED)
             elif self._is_removed(watch):
                 self._probe_after_removal(watch)
             elif now_s - watch.unanswered_at_s > _WATCH_S:
                 self._drop(incarnation, watch, EndEvidence.UNKNOWN)
 
+    def _watch_overdue(self) -> None:
+        """Watch servers that have not answered anything since a send that is overdue."""
+        now_s = self._clock.monotonic_s()
+        for in_flight in [f for f in self._in_flight if f.overdue_at_s <= now_s]:
+            in_flight.progressed()
+            backend = in_flight.backend
+            if backend.announced_leaving or _answered_after(backend, in_flight.began_at_s):
+                continue
+            watch = self._watch(backend, in_flight.send)
+            if watch is not None:
+                self._start_probe(watch)
+
+    def _start_probe(self, watch: _Watch, *, delay_s: float = 0.0) -> None:
+        if watch.probe is not None or watch.ended:
+            return
+        watch.probe = asyncio.get_running_loop().create_task(self._connect(watch, delay_s))
+        watch.probe.add_done_callback(lambda task: self._probed(watch, task))
+
+    async def _connect(self, watch: _Watch, delay_s: float) -> ProbeResult:
+        """Connect to a watched server after a delay, unless it answers something meanwhile."""
+        if delay_s > 0.0:
+            unanswered_at_s = watch.unanswered_at_s
+            await self._clock.sleep(delay_s)
+            if _answered_after(watch.backend, unanswered_at_s):
+                return ProbeResult.ACCEPTED
+        return await self._probe.connect(watch.backend.instance.address)
+
     def _watch(self, backend: Backend, send: UnansweredSend) -> _Watch | None:
         """Add a send to the watch of its server's incarnation."""
         incarnation = incarnation_of(backend)
@@ -241,7 +309,7 @@
         if len(watch.sends) < _MAX_SENDS:
             watch.sends[send] = None
         watch.unanswered_at_s = self._clock.monotonic_s()
-        if watch.ended:
+        if watch.ended or watch.silent:
             self._notify(watch)
         return watch
 
@@ -256,22 +324,22 @@
             self._decide(watch, EndEvidence.REFUSED)
         elif result is ProbeResult.NONE and self._is_removed(watch):
             self._decide(watch, EndEvidence.EXPIRED)
+        elif result is ProbeResult.NONE and not watch.silent:
+            watch.silent = True
+            self._record(watch.backend, EndEvidence.SILENT, watch)
+            self._notify(watch)
 
     def _probe_after_removal(self, watch: _Watch) -> None:
         """Probe a server once when its registration has gone: a partitioned one still answers."""
         if watch.was_removed:
             return
         watch.was_removed = True
-        if watch.probe is None:
-            watch.probe = asyncio.get_running_loop().create_task(
-                self._probe.connect(watch.backend.instance.address)
-            )
-            watch.probe.add_done_callback(lambda task: self._probed(watch, task))
+        self._start_probe(watch)
 
     def _is_replaced(self, watch: _Watch) -> bool:
-        """Return whether a later process has this one's id or address."""
+        """Return whether a later process has, or had, this one's id or address."""
         old = watch.backend.instance
-        return any(
+        watch.was_replaced = watch.was_replaced or any(
             other.instance.started_ms > old.started_ms
             and (
                 other.instance.instance_id == old.instance_id
@@ -279,6 +347,7 @@
             )
             for other in self._directory.all()
         )
+        return watch.was_replaced
 
     def _is_removed(self, watch: _Watch) -> bool:
         known = self._directory.get(watch.backend.instance.instance_id)
@@ -321,6 +390,7 @@
             server=watch.backend.instance.instance_id,
             service=watch.backend.instance.service,
             sends=tuple(watch.sends),
+            certain=watch.ended,
         )
         for listener in self._on_end:
             listener(end)
@@ -328,7 +398,7 @@
     def _drop(self, incarnation: str, watch: _Watch, evidence: EndEvidence) -> None:
         del self._watches[incarnation]
         self._record(watch.backend, evidence, watch)
-        if watch.ended:
+        if watch.ended or watch.silent:
             for listener in self._on_revoked:
                 listener(incarnation)
 
@@ -344,3 +414,7 @@
             undecided_s=round(self._clock.monotonic_s() - watch.watched_at_s, 3) if watch else 0.0,
             view_age_s=round(self._registry_age_s(), 2),
         )
+
+
+def _answered_after(backend: Backend, at_s: float) -> bool:
+    return backend.last_answer_s is not None and backend.last_answer_s > at_s
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -27,6 +27,8 @@
 
 # A resumable stream without an event for this long is resumed on another server.
 _STALL_TIMEOUT_S = 1.0
+# A first event that takes so many times the target latency is overdue.
+_OVERDUE_TARGETS = 2.0
 _OK = 200
 
 
@@ -121,7 +123,7 @@
                 outstanding=choice.outstanding,
             )
             history.sent()
-            sent_ms = guarded.now_ms()
+            in_flight = guarded.begin(backend, _OVERDUE_TARGETS * route.target_latency_s)
             backend.begin()
             response: BackendResponse | None = None
             try:
@@ -132,7 +134,7 @@
                     if response.status != _OK:
                         while data := await response.chunk():
                             yield data
-                        guarded.answered()
+                        guarded.answered(in_flight, response.status)
                         return
                 async for event_id, raw in self._events(response, route):
                     if last_id is not None and event_id != last_id + 1:
@@ -140,18 +142,21 @@
                             f"event {event_id} followed {last_id} in stream {request.request_id}"
                         )
                     last_id = event_id
+                    in_flight.progressed()
                     yield raw
-                guarded.answered()
+                guarded.answered(in_flight, response.status)
                 backend.succeeded(0.0)
                 return
             except LimitReached:
                 history.refused()
+                guarded.not_run(in_flight)
             except (AdmissionRefused, BackendServerUnreachable):
                 history.refused()
+                guarded.not_run(in_flight)
                 backend.failed()
             except BackendServerFailed as failure:
                 history.failed(failure)
-                guarded.broke(backend, sent_ms)
+                guarded.broke(in_flight)
                 backend.failed()
                 self._log.info(
                     "stream_broke",
@@ -163,7 +168,7 @@
                     last_event=last_id,
                 )
             except (asyncio.CancelledError, GeneratorExit):
-                guarded.unanswered(backend, sent_ms)
+                guarded.unanswered(in_flight)
                 raise
             finally:
                 backend.end()
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -48,6 +48,9 @@
     call_id: Annotated[str, Meta(description="ID of an item's scoring call.")] = ""
     callers_address: Annotated[str, Meta(description="Address of the callers' interface.")] = ""
     candidates: Annotated[int, Meta(description="Number of eligible servers.")] = 0
+    certain: Annotated[
+        bool, Meta(description="Whether the server ended, or only does not respond to connections.")
+    ] = False
     changed_until_restart: Annotated[
         list[str], Meta(description="Changed settings, which take effect at the next start.")
     ] = []
@@ -333,7 +336,8 @@
         "Too many servers are watched after unanswered requests.", "server"
     ),
     "request_suspected": _event(
-        "A server ended while running a request.", "fingerprint crash ends age_s"
+        "A server ended, or may have ended, while running a request.",
+        "fingerprint crash ends certain age_s",
     ),
     "request_convicted": _event(
         "Similar requests are temporarily refused.", "fingerprint crashes term_s"
@@ -347,6 +351,10 @@
         "A convicted request is sent again, once for all hosts.",
         "request_id fingerprint convicted doubtful ends trials",
     ),
+    "trial_passed": _event(
+        "A server answered the trial of a convicted request; the trial is given back.",
+        "fingerprint",
+    ),
     "trial_not_claimed": _event(
         "A convicted request is not sent: another host tries it, or the store is away.",
         "fingerprint reason",
--- a/src/verbenawind/standins/opaque_engines.py
+++ b/src/verbenawind/standins/opaque_engines.py
@@ -220,7 +220,10 @@
         if engine.down:
             raise BackendServerUnreachable(f"engine {instance.instance_id} is down")
         engine.arrivals_s.append(asyncio.get_running_loop().time())
+        process = engine.instance
         await _wait_until(lambda: not engine.unresponsive)
+        if engine.instance is not process:
+            raise BackendServerFailed("the process was started again")
         model = _requested_model(attempt)
         if engine.loading:
             return _Answer(engine, attempt, _UNAVAILABLE, refused=True)
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -7,7 +7,7 @@
 
 from verbenawind.clock import LoopClock
 from verbenawind.gateway import CrashHistory, CrashRecords
-from verbenawind.gateway.server_ends import UnansweredSend
+from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.kernel.row_ports import RowId, StoredRow
 from verbenawind.standins.deployment import run_virtual
 from verbenawind.standins.row_store import MemoryRowStore
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -20,7 +20,7 @@
     RouteKind,
     ServiceShare,
 )
-from verbenawind.gateway.server_ends import UnansweredSend
+from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.kernel.row_ports import StoredRow
 from verbenawind.standins.opaque_engines import OpaqueEngine
 from verbenawind.state.heartbeats import HOSTS_TABLE
