--- a/src/verbenawind/gateway/crash_ends.py
+++ b/src/verbenawind/gateway/crash_ends.py
@@ -1,14 +1,16 @@
 """Ends of servers' processes under a request, and the terms for which they refuse it."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from verbenawind.gateway.crash_rows import CrashReport
+from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.kernel.messages import Value
 
 __all__ = [
     "CONVICTION_ENDS",
     "End",
     "add_end",
+    "came_after",
     "end_of_term_ms",
     "is_repeated",
     "joined",
@@ -17,6 +19,9 @@
 
 # Number of ended processes after which a request is convicted.
 CONVICTION_ENDS = 3
+# A connection that breaks so soon after the request was sent may lead to a process that has ended
+# before, where something else accepts connections for it.
+_INSTANT_MS = 25
 # How long a convicted request is refused before its first, second, ... trial. The first term is
 # short, because ends by chance can convict an innocent request.
 _TERMS_MS = (1_000, 30_000, 600_000, 21_600_000)
@@ -33,6 +38,13 @@
     certain: bool
 
 
+def came_after(send: UnansweredSend, first_break_ms: float) -> bool:
+    """Return whether a send probably reached nobody, as its process had broken another before."""
+    if send.broke_ms is None or send.sent_ms <= first_break_ms:
+        return False
+    return send.broke_ms - send.sent_ms < _INSTANT_MS
+
+
 def add_end(ends: dict[str, End], report: CrashReport, sent_ms: int) -> None:
     """Add the end that a report tells of, with the latest send of a request to the process."""
     end = End(
@@ -54,20 +66,44 @@
 
 def is_repeated(ends: Mapping[str, End]) -> bool:
     """Return whether a process ended that was sent the request after an earlier end."""
+    if not ends:
+        return False
     first_ended_ms = min(end.ended_ms for end in ends.values())
     return max(end.sent_ms for end in ends.values()) > first_ended_ms
 
 
-def end_of_term_ms(ends: Mapping[str, End], *, doubtful: bool) -> int:
-    """Return when a convicted request may next be tried, apart from any claim.
+def merged(ends: Iterable[Mapping[str, End]]) -> Mapping[str, End]:
+    """Return the ends under the same request of several callers, by incarnation."""
+    result: dict[str, End] = {}
+    for of_caller in ends:
+        for incarnation, end in of_caller.items():
+            known = result.get(incarnation)
+            result[incarnation] = end if known is None else joined(known, end)
+    return result
+
+
+def is_repeat_offence(ends: Mapping[str, End]) -> bool:
+    """Return whether the ends under one caller's request would convict it alone."""
+    return sum(end.certain for end in ends.values()) >= CONVICTION_ENDS
+
+
+def end_of_term_ms(ends: Mapping[str, End], counted: Mapping[str, End], *, doubtful: bool) -> int:
+    """Return when a convicted request may next be tried, apart from any claim, or 0 for at once.
 
     Each send after the conviction lengthens the term, as a trial does: hosts that did not know of
     the conviction made it.
+
+    Args:
+        ends: The ends that convict it.
+        counted: Those after which the callers that ask now have to wait.
+        doubtful: Whether the ends may have another cause.
     """
-    ended_ms = sorted(end.ended_ms for end in ends.values())
-    convicted_ms = ended_ms[CONVICTION_ENDS - 1]
-    late_sends = sum(end.sent_ms > convicted_ms for end in ends.values())
-    return ended_ms[-1] + term_ms(late_sends, doubtful=doubtful)
+    if len(ends) < CONVICTION_ENDS or not counted:
+        return 0
+    convicted_ms = sorted(end.ended_ms for end in ends.values())[CONVICTION_ENDS - 1]
+    late_sends = sum(end.sent_ms > convicted_ms for end in counted.values())
+    last_ms = max(end.ended_ms for end in counted.values())
+    return last_ms + term_ms(late_sends, doubtful=doubtful)
 
 
 def term_ms(trials: int, *, doubtful: bool) -> int:
--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -14,9 +14,10 @@
 from verbenawind.clock import Clock
 from verbenawind.errors import Outcome, RequestConvicted
 from verbenawind.gateway.answer_memory import AnswerMemory
-from verbenawind.gateway.crash_history import CrashHistory, Standing
+from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CrashRecords
 from verbenawind.gateway.crash_rows import CrashReport
+from verbenawind.gateway.crash_standing import Standing
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.fingerprints import base_fingerprint, request_fingerprint
 from verbenawind.gateway.ports import CallerRequest
@@ -140,10 +141,10 @@
             claim = self.history.claim(standing.fingerprint)
             if (
                 not standing.convicted
-                or standing.own_ends
+                or standing.culprit
                 or claim is None
                 or claim.claimed_ms < self._store_ms() - _TRIAL_MS
-                or claim.refused_until_ms <= self._store_ms()
+                or standing.refused_until_ms <= self._store_ms()
                 or self._clock.monotonic_s() >= ends_at_s
             ):
                 return standing
@@ -167,11 +168,6 @@
             if known is None or known.cleared_ms < self._store_ms() - _CLEARANCE_AGE_MS:
                 self.records.clear(base)
 
-    def passed(self, fingerprint: str) -> None:
-        """Record that a server answered the trial of a request of all callers."""
-        self._log.info("trial_passed", fingerprint=fingerprint)
-        self.records.pass_trial(fingerprint)
-
     def now_ms(self) -> int:
         """Return the store's time, which hosts can compare."""
         return self._store_ms()
@@ -269,8 +265,8 @@
         self._service = service
         self._guard = guard
         self._fingerprint = ""
-        # What the claim of a trial names.
-        self._tried = ""
+        # Its standing when its trial was claimed.
+        self._tried = Standing()
         self._log = structlog.get_logger("crash_guard")
         self.is_trial = False
 
@@ -301,17 +297,20 @@
             return
         term_is_over = standing.refused_until_ms <= self._guard.now_ms()
         if not term_is_over or not await self._guard.records.claim(
-            standing.fingerprint, doubtful=standing.doubtful
+            standing.fingerprint,
+            doubtful=standing.doubtful,
+            caller=standing.series,
         ):
             raise self._refusal(Outcome.NOT_RUN)
         self.is_trial = True
-        self._tried = standing.fingerprint
+        self._tried = standing
         self._guard.trials += 1
         self._log.info(
             "request_tried",
             request_id=self._request.request_id,
             fingerprint=self.fingerprint,
             convicted=standing.fingerprint,
+            culprit=standing.culprit,
             doubtful=standing.doubtful,
             ends=standing.ends,
             trials=standing.trials + 1,
@@ -353,12 +352,12 @@
             return
         self._guard.answered(self.fingerprint)
         if self.is_trial:
-            self._guard.passed(self._tried)
+            self._pass_trial()
 
     def broke(self, send: SendInFlight) -> None:
         """Record that a send broke after the server may have run the request."""
         if not self._request.owed:
-            self._guard.monitor.send_broke(send)
+            self._guard.monitor.send_broke(send, self.now_ms())
 
     def unanswered(self, send: SendInFlight) -> None:
         """Record that a send was given up without an answer."""
@@ -372,7 +371,7 @@
     def finished(self, outcome: Outcome) -> None:
         """Give back the claim of a trial in which no server ran the request."""
         if self.is_trial and outcome is Outcome.NOT_RUN:
-            self._guard.records.release(self._tried)
+            self._release()
 
     def now_ms(self) -> int:
         """Return the store's time, which hosts can compare."""
@@ -389,6 +388,16 @@
     def _pending(self) -> int:
         return self._guard.monitor.pending(self.fingerprint)
 
+    def _pass_trial(self) -> None:
+        """Give the trial back, which speaks for this caller alone."""
+        self._log.info("trial_passed", fingerprint=self.fingerprint, culprit=self._tried.culprit)
+        if self._tried.culprit:
+            self._guard.records.pass_trial(self.fingerprint)
+        self._release()
+
+    def _release(self) -> None:
+        self._guard.records.release(self._tried.fingerprint, self._tried.series)
+
     def _spare_last_server(self, outcome: Outcome) -> None:
         """Refuse a suspect whose next run could leave its service without a server."""
         ends = self._guard.standing(self.fingerprint).own_ends
@@ -406,6 +415,7 @@
             request_id=self._request.request_id,
             fingerprint=self.fingerprint,
             convicted=standing.fingerprint,
+            culprit=standing.culprit,
             doubtful=standing.doubtful,
             crashes=standing.ends,
             trials=standing.trials,
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -201,16 +201,21 @@
         self._history.put_clearance(fingerprint, clearance)
         self._write(f"{_CLEARANCE_PREFIX}{fingerprint}", msgspec.json.encode(clearance))
 
-    async def claim(self, fingerprint: str, *, doubtful: bool) -> bool:
+    async def claim(self, fingerprint: str, *, doubtful: bool, caller: str = "") -> bool:
         """Claim the next trial of a convicted request for this host; at most one host succeeds.
 
         Args:
             fingerprint: The request.
             doubtful: Whether the ends may have another cause, which shortens the terms.
+            caller: The caller's request that is tried, empty if its own ends don't convict it.
         """
         key = f"{_CLAIM_PREFIX}{fingerprint}"
         claim = self._history.next_claim(
-            fingerprint, new_id("trial"), self._store_ms(), doubtful=doubtful
+            fingerprint,
+            new_id("trial"),
+            self._store_ms(),
+            doubtful=doubtful,
+            caller=caller,
         )
         transaction = replacement_transaction(
             RowId(table=self._table, key=key),
@@ -227,22 +232,19 @@
         return True
 
     def pass_trial(self, fingerprint: str) -> None:
-        """Record that a server answered a claimed trial, which is given back."""
+        """Record that a server answered a trial of a caller's request."""
         self._put_clearance(fingerprint, self._history.next_pass(fingerprint, self._store_ms()))
-        self.release(fingerprint)
 
-    def release(self, fingerprint: str) -> None:
-        """Give back a claimed trial that ended no server."""
-        claim = self._history.claim(fingerprint)
-        if claim is None:
+    def release(self, fingerprint: str, caller: str = "") -> None:
+        """Give back a claimed trial that ended no server.
+
+        Args:
+            fingerprint: The request.
+            caller: The caller's request that was tried, as in its claim.
+        """
+        released = self._history.next_release(fingerprint, caller, self._store_ms())
+        if released is None:
             return
-        now_ms = self._store_ms()
-        released = TrialClaim(
-            claim_id=claim.claim_id,
-            trials=claim.trials - 1,
-            claimed_ms=now_ms,
-            refused_until_ms=now_ms,
-        )
         self._history.put_claim(fingerprint, released)
         self._write(f"{_CLAIM_PREFIX}{fingerprint}", msgspec.json.encode(released))
 
--- a/src/verbenawind/gateway/crash_rows.py
+++ b/src/verbenawind/gateway/crash_rows.py
@@ -3,7 +3,9 @@
 from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.kernel.messages import Value
 
-__all__ = ["Clearance", "CrashReport", "TrialClaim"]
+__all__ = ["UNDECIDED", "Clearance", "CrashReport", "TrialClaim", "TrialTerm"]
+
+UNDECIDED = "undecided"
 
 
 class CrashReport(Value, frozen=True, kw_only=True):
@@ -25,7 +27,7 @@
     """Answers to a request, of one caller or of all callers; times are the store's.
 
     ``cleared_ms`` is the time of an answer. ``passed_ms`` is the time of the latest of ``passes``
-    trials that a server answered, in the row of the request of all callers.
+    trials in a row of a caller's request that servers answered.
     """
 
     cleared_ms: int
@@ -33,15 +35,32 @@
     passes: int = 0
 
 
+class TrialTerm(Value, frozen=True, kw_only=True):
+    """Number of trials of some callers, and until when these are refused after the latest."""
+
+    trials: int
+    until_ms: int
+
+
 class TrialClaim(Value, frozen=True, kw_only=True):
     """The latest trial of a convicted request.
 
     The claim is recorded before the request is sent and already states the term that follows a
     failure, so that a host that is lost in the trial leaves the request refused. ``claim_id``
-    tells claims of the same moment apart.
+    tells claims of the same moment apart. ``terms`` has those of each caller whose own request
+    convicts it, by fingerprint, that of all other callers together under an empty name, and under
+    ``UNDECIDED`` that of callers while too few of the ends are certain.
     """
 
     claim_id: str
-    trials: int
     claimed_ms: int
-    refused_until_ms: int
+    terms: dict[str, TrialTerm]
+
+    def term(self, caller: str) -> TrialTerm:
+        """Return the term of a caller, or of the other callers."""
+        return self.terms.get(caller, TrialTerm(trials=0, until_ms=0))
+
+    @property
+    def last_term_ms(self) -> int:
+        """The end of the last term of any caller."""
+        return max((term.until_ms for term in self.terms.values()), default=0)
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Callable, Collection
 
+import msgspec
 import structlog
 
 from verbenawind.clock import Clock
@@ -199,14 +200,23 @@
         if not watch.sends:
             self._drop(incarnation, watch, EndEvidence.ANSWERED)
 
-    def send_broke(self, in_flight: SendInFlight) -> None:
-        """Record that a send broke after its server may have run it, and probe the server."""
+    def send_broke(self, in_flight: SendInFlight, broke_ms: int | None = None) -> None:
+        """Record that a send broke after its server may have run it, and probe the server.
+
+        Args:
+            in_flight: The send.
+            broke_ms: The store's time.
+        """
         self._in_flight.discard(in_flight)
         backend = in_flight.backend
         if backend.leaving:
             self._record(backend, EndEvidence.LEAVING, None)
             return
-        watch = self._watch(backend, in_flight.send)
+        known = self._watches.get(incarnation_of(backend))
+        if known is not None:
+            known.sends.pop(in_flight.send, None)
+        send = msgspec.structs.replace(in_flight.send, broke_ms=broke_ms)
+        watch = self._watch(backend, send)
         if watch is not None:
             self._start_probe(watch)
 
--- a/src/verbenawind/gateway/unanswered_sends.py
+++ b/src/verbenawind/gateway/unanswered_sends.py
@@ -24,10 +24,15 @@
 
 
 class UnansweredSend(Value, frozen=True, kw_only=True):
-    """A request that a server did not answer; ``sent_ms`` is the store's time."""
+    """A request that a server did not answer.
+
+    ``sent_ms`` and ``broke_ms`` are the store's times at which it was sent and at which its
+    connection broke, the latter None if it was given up.
+    """
 
     fingerprint: str
     sent_ms: int
+    broke_ms: int | None = None
 
 
 class ServerEnd(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -75,6 +75,9 @@
             description="Fingerprint that is convicted: of the caller's request or of all callers'."
         ),
     ] = ""
+    culprit: Annotated[
+        bool, Meta(description="Whether several servers ended under this caller's own request.")
+    ] = False
     crashes: Annotated[int, Meta(description="Crashes of servers while running such requests.")] = 0
     cursor: Annotated[Any, Meta(description="Cursor of a trainer in its deliveries.")] = None
     desired_groups: Annotated[
@@ -345,15 +348,15 @@
     "suspect_cleared": _event("A suspected request ran without a crash.", "fingerprint ends"),
     "request_refused_as_convicted": _event(
         "A request was refused because servers ended under such requests.",
-        "request_id fingerprint convicted doubtful crashes trials reason",
+        "request_id fingerprint convicted culprit doubtful crashes trials reason",
     ),
     "request_tried": _event(
         "A convicted request is sent again, once for all hosts.",
-        "request_id fingerprint convicted doubtful ends trials",
+        "request_id fingerprint convicted culprit doubtful ends trials",
     ),
     "trial_passed": _event(
         "A server answered the trial of a convicted request; the trial is given back.",
-        "fingerprint",
+        "fingerprint culprit",
     ),
     "trial_not_claimed": _event(
         "A convicted request is not sent: another host tries it, or the store is away.",
