--- a/src/verbenawind/cli/logs.py
+++ b/src/verbenawind/cli/logs.py
@@ -10,12 +10,14 @@
 from verbenawind.cli.commands import Invocation, Result, command
 from verbenawind.cli.exit_codes import ExitCode
 from verbenawind.errors import SettingsInvalid
+from verbenawind.gateway.fingerprints import base_fingerprint
 from verbenawind.platform.settings import load_host_settings
 
 __all__: list[str] = []
 
 # Fields that hold the ID of a request, job or server.
-_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group", "call_id", "fingerprint")
+_ID_FIELDS = ("request_id", "job_id", "server", "owner", "group", "call_id")
+_FINGERPRINT = "fingerprint"
 _LEADING_FIELDS = ("timestamp", "event", "host", "level", "logger")
 
 
@@ -24,16 +26,16 @@
     """Merge the log lines of a request, job or server from several hosts, sorted by time.
 
     With the ID of a batch item, the lines of its job and of its scoring call are included. With the
-    ID of a request, what its repeats met is included: ends of servers, refusals and trials.
+    ID of a request, what its repeats met is included, whichever callers sent them: ends of servers,
+    refusals and trials.
     Timestamps are from the hosts' own clocks, which may differ.
     """
     identifier, *paths = invocation.arguments
     lines = [line for path in paths for line in _read_lines(path)]
     own_lines = [line for line in lines if line.get("request_id") == identifier]
     job_ids = {str(line["job_id"]) for line in own_lines if "job_id" in line} - {identifier}
-    ids = {identifier} | {
-        str(line[name]) for line in own_lines for name in ("call_id", "fingerprint") if name in line
-    }
+    ids = {identifier} | {str(line["call_id"]) for line in own_lines if "call_id" in line}
+    ids |= {base_fingerprint(str(line[_FINGERPRINT])) for line in own_lines if _FINGERPRINT in line}
     matching = [line for line in lines if _matches(line, ids, job_ids)]
     if not matching:
         raise CommandFailed(
@@ -80,6 +82,8 @@
 def _matches(line: dict[str, Any], ids: Collection[str], job_ids: Collection[str]) -> bool:
     if any(line.get(name) in ids for name in _ID_FIELDS):
         return True
+    if base_fingerprint(str(line.get(_FINGERPRINT, ""))) in ids:
+        return True
     return "request_id" not in line and line.get("job_id") in job_ids
 
 
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -63,6 +63,24 @@
         assert code == ExitCode.DONE
         assert [line.split()[0] for line in out.splitlines()] == ["1", "2", "3"]
 
+    def test_repeats_of_other_callers_are_shown(self, tmp_path: Path) -> None:
+        """Ends under the same request of another caller explain the refusal as well."""
+        path = write(
+            tmp_path / "a",
+            {"event": "request_suspected", "timestamp": "1", "fingerprint": "f.x", "crash": "s.1"},
+            {"event": "request_suspected", "timestamp": "1", "fingerprint": "g.y", "crash": "s.1"},
+            {
+                "event": "request_refused_as_convicted",
+                "timestamp": "2",
+                "request_id": "r2",
+                "fingerprint": "f.y",
+            },
+        )
+        code, out, _ = call("trace", "r2", path)
+        assert code == ExitCode.DONE
+        assert [line.split()[0] for line in out.splitlines()] == ["1", "2"]
+        assert "g.y" not in out
+
     def test_both_stages_of_an_item_are_shown(self, tmp_path: Path) -> None:
         """With an item's ID, the sends of its scoring call are included; by the call's ID, too."""
         path = write(
