--- a/src/verbenawind/gateway/crash_ends.py
+++ b/src/verbenawind/gateway/crash_ends.py
@@ -91,21 +91,30 @@
     """Return when a convicted request may next be tried, apart from any claim, or 0 for at once.
 
     Each send after the conviction lengthens the term, as a trial does: hosts that did not know of
-    the conviction made it.
+    the conviction made it. Those of other callers do as well, from the second one on.
 
     Args:
         ends: The ends that convict it.
-        counted: Those after which the callers that ask now have to wait.
+        counted: Those under the callers that share the term.
         doubtful: Whether the ends may have another cause.
     """
-    if len(ends) < CONVICTION_ENDS or not counted:
+    if len(ends) < CONVICTION_ENDS:
         return 0
     convicted_ms = sorted(end.ended_ms for end in ends.values())[CONVICTION_ENDS - 1]
-    late_sends = sum(end.sent_ms > convicted_ms for end in counted.values())
+    late_sends = _sent_after(counted, convicted_ms)
+    late_sends_of_all = _sent_after(ends, convicted_ms)
+    if late_sends_of_all - 1 > late_sends:
+        late_sends, counted = late_sends_of_all - 1, ends
+    if not counted:
+        return 0
     last_ms = max(end.ended_ms for end in counted.values())
     return last_ms + term_ms(late_sends, doubtful=doubtful)
 
 
+def _sent_after(ends: Mapping[str, End], at_ms: int) -> int:
+    return sum(end.sent_ms > at_ms for end in ends.values())
+
+
 def term_ms(trials: int, *, doubtful: bool) -> int:
     """Return for how long a request is refused after so many trials."""
     terms_ms = _DOUBTFUL_TERMS_MS if doubtful else _TERMS_MS
--- a/tests/gateway/test_crash_history.py
+++ b/tests/gateway/test_crash_history.py
@@ -320,6 +320,19 @@
             assert history.standing("f.z", 2002).refused_until_ms == until_ms
         assert history.standing("f.x", 2002).refused_until_ms == 32_000
 
+    def test_late_ends_of_other_callers_lengthen_terms_from_the_second_on(self) -> None:
+        """Two late ends under one caller and one under another leave nobody a trial for minutes."""
+        history = CrashHistory()
+        for number, server in enumerate(("a", "b", "c")):
+            put_end(history, server, 100 * number, "f.x")
+        put_end(history, "d", 8000, "f.x")
+        assert history.standing("f.y", 8001).refused_until_ms <= 8001
+        put_end(history, "e", 40_000, "f.x")
+        assert history.standing("f.y", 40_001).refused_until_ms == 41_000
+        put_end(history, "g", 42_000, "f.y")
+        for caller in ("x", "y", "z"):
+            assert history.standing(f"f.{caller}", 42_001).refused_until_ms >= 640_000
+
     def test_trials_that_make_a_caller_convict_itself_count_for_it(self) -> None:
         """Addresses in turn: the two trials of one of them ended servers, its third end is late."""
         history = CrashHistory()
--- a/tests/node/test_repeats_under_pressure.py
+++ b/tests/node/test_repeats_under_pressure.py
@@ -226,6 +226,24 @@
 
         run_desk(work, hosts=HOSTS, servers=3, seed=addresses)
 
+    @pytest.mark.parametrize("kind", KINDS)
+    @pytest.mark.parametrize("period_s", [1.0, 4.0, 8.0])
+    def test_one_address_beside_new_ones(self, kind: RouteKind, period_s: float) -> None:
+        """Half of the attempts come from one address, the others from a new one each time."""
+
+        async def work(desk: Desk) -> None:
+            load = Load(
+                desk,
+                crashing=2,
+                kind=kind,
+                period_s=period_s,
+                caller_of=lambda attempt: f"10.0.1.{attempt if attempt % 4 > 1 else 0}",
+            )
+            await load.run(120.0)
+            check_load(load)
+
+        run_desk(work, hosts=HOSTS, servers=3)
+
     @pytest.mark.parametrize("kind", KINDS)
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_new_addresses_do_not_start_anew(self, kind: RouteKind, seed: int) -> None:
