--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -186,7 +186,13 @@
                 self.records.sweep(self._is_assigned)
 
     def _server_ended(self, end: ServerEnd) -> None:
-        self.records.report(end.incarnation, end.service, end.sends, certain=end.certain)
+        alive_ms = -1
+        if end.answered_s is not None:
+            age_s = self._clock.monotonic_s() - end.answered_s
+            alive_ms = self._store_ms() - int(age_s * 1000)
+        self.records.report(
+            end.incarnation, end.service, end.sends, certain=end.certain, alive_ms=alive_ms
+        )
 
     def _reported(self, report: CrashReport, added: Collection[str], own: bool) -> None:
         """Log what a report changes, and clear requests that this host knows to be sound."""
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -145,6 +145,7 @@
         sends: Collection[UnansweredSend],
         *,
         certain: bool = True,
+        alive_ms: int = -1,
     ) -> None:
         """Record the requests that this host had left unanswered on a process that ended.
 
@@ -153,6 +154,7 @@
             service: The service of its server.
             sends: The requests.
             certain: Whether it ended, or only doesn't respond to connections.
+            alive_ms: The store's time of its latest answer to this host.
         """
         digest = digest_hex(incarnation.encode())[:_INCARNATION_DIGITS]
         key = f"{_REPORT_PREFIX}{digest}/{self._owner}"
@@ -167,6 +169,7 @@
             ended_ms=known.ended_ms if known else self._store_ms(),
             sends=tuple(newest[:_MAX_SENDS]),
             certain=certain or (known is not None and known.certain),
+            alive_ms=known.alive_ms if known is not None else alive_ms,
         )
         if report != known:
             self._put_report(key, report, own=True)
--- a/src/verbenawind/gateway/crash_rows.py
+++ b/src/verbenawind/gateway/crash_rows.py
@@ -13,7 +13,7 @@
 
     A report that is not ``certain`` tells of a process that left requests unanswered and does not
     respond to connections. Requests that another server answered are taken out again, so ``sends``
-    may be empty.
+    may be empty. ``alive_ms`` is the time of the latest answer that the host got from the process.
     """
 
     incarnation: str
@@ -21,6 +21,7 @@
     ended_ms: int
     sends: tuple[UnansweredSend, ...]
     certain: bool = True
+    alive_ms: int = -1
 
 
 class Clearance(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -401,6 +401,7 @@
             service=watch.backend.instance.service,
             sends=tuple(watch.sends),
             certain=watch.ended,
+            answered_s=watch.backend.last_answer_s,
         )
         for listener in self._on_end:
             listener(end)
--- a/src/verbenawind/gateway/unanswered_sends.py
+++ b/src/verbenawind/gateway/unanswered_sends.py
@@ -39,6 +39,7 @@
     """The end of a server's process without notice, and the sends that it left unanswered.
 
     An end that is not ``certain`` is that of a process that does not respond to connections.
+    ``answered_s`` is the monotonic time of its latest answer to this host, None if it gave none.
     """
 
     incarnation: str
@@ -46,6 +47,7 @@
     service: str
     sends: tuple[UnansweredSend, ...]
     certain: bool = True
+    answered_s: float | None = None
 
 
 class SendInFlight:
--- a/tests/gateway/test_crash_history.py
+++ b/tests/gateway/test_crash_history.py
@@ -175,6 +175,17 @@
         assert not history.standing("sound.y", 5000).ends
         assert history.standing("poison.x", 5000).convicted
 
+    def test_request_that_came_after_an_answer_is(self) -> None:
+        """A connection was reset, the process answered others, and then it ended at once."""
+        history = CrashHistory()
+        for host, (name, at_ms, alive_ms) in enumerate((("reset.x", 100, 900), ("f", 1000, -1))):
+            send = UnansweredSend(fingerprint=name, sent_ms=at_ms - 2, broke_ms=at_ms)
+            report = CrashReport(
+                incarnation="a", service="desk", ended_ms=1000, sends=(send,), alive_ms=alive_ms
+            )
+            history.put_report(f"a/{host}", report)
+        assert history.standing("f", 1100).ends == 1
+
     def test_request_that_ran_for_a_while_is(self) -> None:
         """An answer was lost before, so the first break was not the end of the process."""
         history = CrashHistory()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
     1012: "as 1003",
     2001: "two crashing requests excused each other; servers ended before their ends were decided",
     2008: "as 2001",
+    7012: "an end at once after a reset connection was not held against the request",
     4013: "an answer of a server's next process was taken for one of the process that had ended",
 }
 
