--- a/tests/gateway/test_crash_history.py
+++ b/tests/gateway/test_crash_history.py
@@ -132,6 +132,16 @@
             history.put_clearance("f", history.next_pass("f", 40_000 + number))
         assert not history.standing("f", 40_100).convicted
 
+    # Guards against callers that were refused by the last server although their trial had passed.
+    def test_passed_trial_voids_the_ends_before_it(self) -> None:
+        """The last server of a service is kept only from callers with later ends of their own."""
+        history = history_of(("a", 100), ("b", 200), ("c", 300))
+        assert history.standing("f", 350).own_ends == 3
+        history.put_clearance("f", history.next_pass("f", 1400))
+        assert history.standing("f", 1500).own_ends == 0
+        put_end(history, "d", 2000, "f")
+        assert history.standing("f", 2100).own_ends == 4
+
     def test_end_between_trials_starts_the_count_anew(self) -> None:
         """Seven trials passed, one ended a server, and one more passed."""
         history = history_of(("a", 100), ("b", 200), ("c", 300), ("d", 400))
