--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -197,6 +197,9 @@
     def _reported(self, report: CrashReport, added: Collection[str], own: bool) -> None:
         """Log what a report changes, and clear requests that this host knows to be sound."""
         now_ms = self._store_ms()
+        if not own and report.ended_ms > now_ms - _DOWN_MS:
+            age_s = max(0, now_ms - report.ended_ms) / 1000
+            self.monitor.end_suspected(report.incarnation, self._clock.monotonic_s() - age_s)
         if report.certain and not own:
             self.monitor.end_reported(report.incarnation)
         for fingerprint in added:
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -137,6 +137,10 @@
         self._last_contact_s = self._clock.monotonic_s()
         self._suspected_until_s = self._last_contact_s + suspicion_s
 
+    def suspect(self) -> None:
+        """Prefer other servers for a while, as this one has probably ended."""
+        self._suspected_until_s = self._clock.monotonic_s() + _MAX_SUSPICION_S
+
     def record_version(self, model: str, version: int) -> None:
         """Record the weight version of a model that the server reported."""
         self.versions[model] = version
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -2,10 +2,10 @@
 
 A send that breaks shows only that a connection is lost. The process has ended if its address
 refuses connections, if the registry names a later process in its place, or if another host has
-found that it ended. A process that leaves requests unanswered and connections without a response
-may have ended, which is told to the other hosts as uncertain. A server that announced that it
-leaves ends as planned. A decision is revoked if the same process answers or registers again, as
-after a network partition that resets connections.
+found that it ended. A process that leaves requests unanswered may have ended if connections to its
+address get no response or are closed at once, which is told to the other hosts as uncertain. A
+server that announced that it leaves ends as planned. A decision is revoked if the same process
+answers or registers again, as after a network partition that resets connections.
 """
 
 import asyncio
@@ -87,7 +87,7 @@
         self.sends: dict[UnansweredSend, None] = {}
         self.probe: asyncio.Task[ProbeResult] | None = None
         self.ended = False
-        # Whether it does not respond to connections, which was told as an uncertain end.
+        # Whether nothing responds to connections, which was told as an uncertain end.
         self.silent = False
         self.decided_at_s = 0.0
         self.was_removed = False
@@ -232,6 +232,19 @@
         if watch is not None:
             self._start_probe(watch, delay_s=_ABANDONED_PROBE_DELAY_S)
 
+    def end_suspected(self, incarnation: str, ended_s: float) -> None:
+        """Prefer other servers to one whose process another host found ended or unresponsive.
+
+        Args:
+            incarnation: The process.
+            ended_s: Monotonic time of the finding.
+        """
+        if self.answered_since(incarnation, ended_s):
+            return
+        for backend in self._directory.all():
+            if incarnation_of(backend) == incarnation:
+                backend.suspect()
+
     def end_reported(self, incarnation: str) -> None:
         """Apply another host's finding that a process has ended to what this host sent it."""
         for in_flight in [f for f in self._in_flight if incarnation_of(f.backend) == incarnation]:
@@ -332,11 +345,13 @@
         result = task.result()
         if result is ProbeResult.REFUSED:
             self._decide(watch, EndEvidence.REFUSED)
-        elif result is ProbeResult.NONE and self._is_removed(watch):
+        elif result is not ProbeResult.ACCEPTED and self._is_removed(watch):
             self._decide(watch, EndEvidence.EXPIRED)
-        elif result is ProbeResult.NONE and not watch.silent:
+        elif result is not ProbeResult.ACCEPTED and not watch.silent:
             watch.silent = True
-            self._record(watch.backend, EndEvidence.SILENT, watch)
+            watch.backend.suspect()
+            closed = result is ProbeResult.CLOSED
+            self._record(watch.backend, EndEvidence.CLOSED if closed else EndEvidence.SILENT, watch)
             self._notify(watch)
 
     def _probe_after_removal(self, watch: _Watch) -> None:
@@ -389,6 +404,7 @@
         return now_s - watch.answered_at_s > _REGISTRATION_LAG_S
 
     def _decide(self, watch: _Watch, evidence: EndEvidence) -> None:
+        watch.backend.suspect()
         watch.ended = True
         watch.decided_at_s = self._clock.monotonic_s()
         self._record(watch.backend, evidence, watch)
--- a/src/verbenawind/gateway/unanswered_sends.py
+++ b/src/verbenawind/gateway/unanswered_sends.py
@@ -20,6 +20,7 @@
     ANSWERED = "it answered again"
     REGISTERED = "the same process is registered again"
     SILENT = "its address does not answer"
+    CLOSED = "its address closes connections at once"
     UNKNOWN = "nothing shows that it ended"
 
 
--- a/src/verbenawind/kernel/probe_ports.py
+++ b/src/verbenawind/kernel/probe_ports.py
@@ -7,10 +7,14 @@
 
 
 class ProbeResult(StrEnum):
-    """The result of connecting to an address."""
+    """The result of connecting to an address.
+
+    ``CLOSED`` is that of a proxy which accepts connections and finds no process behind it.
+    """
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    CLOSED = "closed"
     NONE = "none"
 
 
--- a/tests/gateway/test_server_ends.py
+++ b/tests/gateway/test_server_ends.py
@@ -309,6 +309,32 @@
 
         run_watched(work)
 
+    def test_closed_connections_are_told_as_uncertain(self) -> None:
+        """A proxy that finds no process accepts connections and closes them, before any successor.
+
+        A living server may close them too, while it takes no more.
+        """
+
+        async def ended(watched: Watched) -> None:
+            watched.probe_result = ProbeResult.CLOSED
+            watched.break_send()
+            await watched.wait(0.5)
+            assert [(end.sends, end.certain) for end in watched.ends] == [((SEND,), False)]
+            watched.directory.put(registration(started_ms=2))
+            assert watched.evidence() == [EndEvidence.CLOSED, EndEvidence.REPLACED]
+            assert watched.ends[-1].certain
+
+        async def alive(watched: Watched) -> None:
+            watched.probe_result = ProbeResult.CLOSED
+            watched.break_send()
+            await watched.wait(0.5)
+            watched.backend.succeeded(0.1)
+            await watched.wait(3.0)
+            assert watched.revoked == ["s1.1"]
+
+        run_watched(ended)
+        run_watched(alive)
+
     def test_overdue_send_that_is_answered_counts_for_nothing(self) -> None:
         """A slow server answers at last."""
 
