--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -1,11 +1,12 @@
 """Routes requests by host and path to registered backend servers, without reading the bodies."""
 
 from verbenawind.gateway.allowances import Allowances
-from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
+from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
 from verbenawind.gateway.directory import Backend, Directory, ServerState
 from verbenawind.gateway.forwarding import Forwarder, Reply
+from verbenawind.gateway.guarded_request import GuardedRequest
 from verbenawind.gateway.leaving import StayingBackends
 from verbenawind.gateway.limit_records import LIMIT_KEY_PREFIX, LimitRecords
 from verbenawind.gateway.limited_backends import LimitedBackends
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -15,8 +15,9 @@
 )
 from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.balance import Choice, choose
-from verbenawind.gateway.crash_guard import CrashGuard, GuardedRequest
+from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.directory import Backend, Directory
+from verbenawind.gateway.guarded_request import GuardedRequest
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
 from verbenawind.gateway.send_history import SendHistory
@@ -168,7 +169,7 @@
             RequestConvicted: Servers ended under such requests, which are refused for a time.
             VerbenawindError: No server responded; the outcome tells whether one may have run it.
         """
-        guarded = self._guard.open(request, service)
+        guarded = GuardedRequest(request, service, self._guard)
         await guarded.admit()
         exchange = _Exchange(request, route, service, guarded)
         self._hedge_tokens = min(
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -24,6 +24,7 @@
     ServerEnd,
     UnansweredSend,
 )
+from verbenawind.gateway.watched_processes import ProcessWatch
 from verbenawind.kernel.probe_ports import AddressProbe, ProbeResult
 
 __all__ = [
@@ -60,41 +61,6 @@
     return instance_incarnation(backend.instance)
 
 
-class _Watch:
-    """The unanswered sends of one incarnation."""
-
-    __slots__ = (
-        "answered_at_s",
-        "backend",
-        "decided_at_s",
-        "ended",
-        "probe",
-        "sends",
-        "silent",
-        "unanswered_at_s",
-        "was_removed",
-        "was_replaced",
-        "watched_at_s",
-    )
-
-    def __init__(self, backend: Backend, watched_at_s: float) -> None:
-        self.backend = backend
-        # Times of its first and its latest unanswered send.
-        self.watched_at_s = watched_at_s
-        self.unanswered_at_s = 0.0
-        # Time at which an answer from its address was first noticed, None before.
-        self.answered_at_s: float | None = None
-        self.sends: dict[UnansweredSend, None] = {}
-        self.probe: asyncio.Task[ProbeResult] | None = None
-        self.ended = False
-        # Whether nothing responds to connections, which was told as an uncertain end.
-        self.silent = False
-        self.decided_at_s = 0.0
-        self.was_removed = False
-        # Whether the registry has ever named a later process in its place.
-        self.was_replaced = False
-
-
 class ServerEndMonitor:
     """Watches servers that left requests unanswered.
 
@@ -129,7 +95,7 @@
         self._probe = probe
         self._clock = clock
         self._registry_age_s = registry_age_s
-        self._watches: dict[str, _Watch] = {}
+        self._watches: dict[str, ProcessWatch] = {}
         self._in_flight: set[SendInFlight] = set()
         self._on_end: list[Callable[[ServerEnd], None]] = []
         self._on_revoked: list[Callable[[str], None]] = []
@@ -305,13 +271,13 @@
             if watch is not None:
                 self._start_probe(watch)
 
-    def _start_probe(self, watch: _Watch, *, delay_s: float = 0.0) -> None:
+    def _start_probe(self, watch: ProcessWatch, *, delay_s: float = 0.0) -> None:
         if watch.probe is not None or watch.ended:
             return
         watch.probe = asyncio.get_running_loop().create_task(self._connect(watch, delay_s))
         watch.probe.add_done_callback(lambda task: self._probed(watch, task))
 
-    async def _connect(self, watch: _Watch, delay_s: float) -> ProbeResult:
+    async def _connect(self, watch: ProcessWatch, delay_s: float) -> ProbeResult:
         """Connect to a watched server after a delay, unless it answers something meanwhile."""
         if delay_s > 0.0:
             unanswered_at_s = watch.unanswered_at_s
@@ -320,7 +286,7 @@
                 return ProbeResult.ACCEPTED
         return await self._probe.connect(watch.backend.instance.address)
 
-    def _watch(self, backend: Backend, send: UnansweredSend) -> _Watch | None:
+    def _watch(self, backend: Backend, send: UnansweredSend) -> ProcessWatch | None:
         """Add a send to the watch of its server's incarnation."""
         incarnation = incarnation_of(backend)
         watch = self._watches.get(incarnation)
@@ -328,7 +294,7 @@
             if len(self._watches) >= _MAX_WATCHES:
                 self._log.warning("server_end_not_watched", server=backend.instance.instance_id)
                 return None
-            watch = self._watches[incarnation] = _Watch(backend, self._clock.monotonic_s())
+            watch = self._watches[incarnation] = ProcessWatch(backend, self._clock.monotonic_s())
         if len(watch.sends) < _MAX_SENDS:
             watch.sends[send] = None
         watch.unanswered_at_s = self._clock.monotonic_s()
@@ -336,7 +302,7 @@
             self._notify(watch)
         return watch
 
-    def _probed(self, watch: _Watch, task: asyncio.Task[ProbeResult]) -> None:
+    def _probed(self, watch: ProcessWatch, task: asyncio.Task[ProbeResult]) -> None:
         watch.probe = None
         if task.cancelled() or watch.ended or watch.backend.announced_leaving:
             return
@@ -354,14 +320,14 @@
             self._record(watch.backend, EndEvidence.CLOSED if closed else EndEvidence.SILENT, watch)
             self._notify(watch)
 
-    def _probe_after_removal(self, watch: _Watch) -> None:
+    def _probe_after_removal(self, watch: ProcessWatch) -> None:
         """Probe a server once when its registration has gone: a partitioned one still answers."""
         if watch.was_removed:
             return
         watch.was_removed = True
         self._start_probe(watch)
 
-    def _is_replaced(self, watch: _Watch) -> bool:
+    def _is_replaced(self, watch: ProcessWatch) -> bool:
         """Return whether a later process has, or had, this one's id or address."""
         old = watch.backend.instance
         watch.was_replaced = watch.was_replaced or any(
@@ -374,11 +340,11 @@
         )
         return watch.was_replaced
 
-    def _is_removed(self, watch: _Watch) -> bool:
+    def _is_removed(self, watch: ProcessWatch) -> bool:
         known = self._directory.get(watch.backend.instance.instance_id)
         return known is not watch.backend or watch.backend.removed_at_s is not None
 
-    def _evidence_of_life(self, watch: _Watch) -> EndEvidence | None:
+    def _evidence_of_life(self, watch: ProcessWatch) -> EndEvidence | None:
         if self._has_answered(watch):
             return EndEvidence.ANSWERED
         if not watch.ended or watch.backend.announced_leaving:
@@ -390,7 +356,7 @@
         same = known.instance.started_ms == watch.backend.instance.started_ms
         return EndEvidence.REGISTERED if same and watch.was_removed else None
 
-    def _has_answered(self, watch: _Watch) -> bool:
+    def _has_answered(self, watch: ProcessWatch) -> bool:
         """Return whether the process has answered again, and not a successor under its id."""
         answered_at_s = watch.backend.last_answer_s
         if answered_at_s is None or answered_at_s <= watch.unanswered_at_s + _ANSWER_MARGIN_S:
@@ -403,14 +369,14 @@
             return False
         return now_s - watch.answered_at_s > _REGISTRATION_LAG_S
 
-    def _decide(self, watch: _Watch, evidence: EndEvidence) -> None:
+    def _decide(self, watch: ProcessWatch, evidence: EndEvidence) -> None:
         watch.backend.suspect()
         watch.ended = True
         watch.decided_at_s = self._clock.monotonic_s()
         self._record(watch.backend, evidence, watch)
         self._notify(watch)
 
-    def _notify(self, watch: _Watch) -> None:
+    def _notify(self, watch: ProcessWatch) -> None:
         end = ServerEnd(
             incarnation=incarnation_of(watch.backend),
             server=watch.backend.instance.instance_id,
@@ -422,14 +388,14 @@
         for listener in self._on_end:
             listener(end)
 
-    def _drop(self, incarnation: str, watch: _Watch, evidence: EndEvidence) -> None:
+    def _drop(self, incarnation: str, watch: ProcessWatch, evidence: EndEvidence) -> None:
         del self._watches[incarnation]
         self._record(watch.backend, evidence, watch)
         if watch.ended or watch.silent:
             for listener in self._on_revoked:
                 listener(incarnation)
 
-    def _record(self, backend: Backend, evidence: EndEvidence, watch: _Watch | None) -> None:
+    def _record(self, backend: Backend, evidence: EndEvidence, watch: ProcessWatch | None) -> None:
         self.counts[evidence] += 1
         self._log.info(
             "server_end_judged",
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -16,6 +16,7 @@
 from verbenawind.gateway.balance import choose
 from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.directory import Backend, Directory
+from verbenawind.gateway.guarded_request import GuardedRequest
 from verbenawind.gateway.ports import Attempt, BackendPort, BackendResponse, CallerRequest
 from verbenawind.gateway.response_check import check_response
 from verbenawind.gateway.send_history import SendHistory
@@ -74,7 +75,7 @@
         """
         tried: set[str] = set()
         without_turn: set[str] = set()
-        guarded = self._guard.open(request, service)
+        guarded = GuardedRequest(request, service, self._guard)
         await guarded.admit()
         first_response: BackendResponse | None = None
         last_id = request.resume_after
