--- a/src/verbenawind/gateway/crash_history.py
+++ b/src/verbenawind/gateway/crash_history.py
@@ -29,7 +29,7 @@
 from verbenawind.gateway.crash_reports import CrashReports
 from verbenawind.gateway.crash_rows import UNDECIDED, Clearance, CrashReport, TrialClaim, TrialTerm
 from verbenawind.gateway.crash_standing import Standing
-from verbenawind.gateway.fingerprints import base_fingerprint
+from verbenawind.gateway.fingerprints import base_fingerprint, caller_of
 
 __all__ = ["CrashHistory"]
 
@@ -116,6 +116,10 @@
         """Return whether processes ended under a request of any caller."""
         return bool(self._reports.callers_of(base))
 
+    def is_held(self, fingerprint: str, incarnation: str, now_ms: int) -> bool:
+        """Return whether a caller's request may have ended a process, from what is reported."""
+        return incarnation in self._ends(fingerprint, now_ms)
+
     def unanswered_ends(self, fingerprint: str) -> int:
         """Return how many processes ended under a caller's request since it was last answered."""
         since_ms = self._cleared_ms(fingerprint)
@@ -314,11 +318,36 @@
         return not relapsed or clearance.passes >= _PASSES_AFTER_RELAPSE
 
     def _is_trusted(self, fingerprint: str, now_ms: int, answers: Callable[[str], int]) -> bool:
-        """Return whether a caller was answered lately, more often than processes ended."""
+        """Return whether a caller was answered lately, and answers outweigh ends or excuse them."""
         answered = answers(fingerprint) > 0 or (
             self._cleared_ms(fingerprint) >= now_ms - _LATELY_MS and fingerprint in self._clearances
         )
-        return answered and not self._is_outweighed(fingerprint, now_ms, answers)
+        if not answered:
+            return False
+        if not self._is_outweighed(fingerprint, now_ms, answers):
+            return True
+        return self._is_excused(fingerprint, now_ms)
+
+    def _is_excused(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether each end under a caller's request has another cause.
+
+        That is a request of a caller at another address which convicts itself, also by other ends.
+        """
+        own = self._ends(fingerprint, now_ms)
+        causes: dict[str, bool] = {}
+        for incarnation in own:
+            others = [
+                name
+                for name in self._reports.requests_on(incarnation)
+                if caller_of(name) != caller_of(fingerprint)
+            ]
+            for name in others:
+                if name not in causes:
+                    ends = self._ends(name, now_ms)
+                    causes[name] = is_repeat_offence(ends) and bool(ends.keys() - own.keys())
+            if not any(causes[name] for name in others):
+                return False
+        return True
 
     def _is_outweighed(self, fingerprint: str, now_ms: int, answers: Callable[[str], int]) -> bool:
         """Return whether the ends under a caller's request outweigh the answers that it got."""
--- a/src/verbenawind/gateway/crash_reports.py
+++ b/src/verbenawind/gateway/crash_reports.py
@@ -66,6 +66,11 @@
         """Return the keys of the reports on a server's process."""
         return list(self._keys_on.get(incarnation, ()))
 
+    def requests_on(self, incarnation: str) -> Collection[str]:
+        """Return the callers' requests that were left unanswered on a process."""
+        reports = [self._by_key[key] for key in self._keys_on.get(incarnation, ())]
+        return {send.fingerprint for report in reports for send in report.sends}
+
     def callers_of(self, base: str) -> Collection[str]:
         """Return the reported requests of all callers that are the same request."""
         return list(self._callers_of.get(base, ()))
--- a/src/verbenawind/gateway/fingerprints.py
+++ b/src/verbenawind/gateway/fingerprints.py
@@ -4,7 +4,7 @@
 
 from verbenawind.gateway.ports import CallerRequest
 
-__all__ = ["base_fingerprint", "request_fingerprint"]
+__all__ = ["base_fingerprint", "caller_of", "request_fingerprint"]
 
 _DIGEST_BYTES = 16
 _CALLER_BYTES = 6
@@ -25,5 +25,10 @@
     return fingerprint.partition(_SEPARATOR)[0]
 
 
+def caller_of(fingerprint: str) -> str:
+    """Return the digest of the caller's address, empty if the request named none."""
+    return fingerprint.partition(_SEPARATOR)[2]
+
+
 def _digest(data: bytes, size_bytes: int) -> str:
     return hashlib.blake2b(data, digest_size=size_bytes).hexdigest()
--- a/tests/gateway/test_crash_history.py
+++ b/tests/gateway/test_crash_history.py
@@ -391,6 +391,24 @@
         assert not history.standing("f.y", 6000).convicted
         assert history.standing("f.x", 6000).convicted
 
+    # Guards against sound callers refused for minutes as they ran where crashing requests did.
+    def test_answered_caller_is_free_where_each_end_has_another_cause(self) -> None:
+        """Its processes also ran a request, of another address, that ended more of them.
+
+        A request of the same address is no excuse: both may be of one crashing caller.
+        """
+        history = CrashHistory()
+        for number, server in enumerate(("a", "b", "c", "d")):
+            names = ("poison.x",) if server == "d" else ("poison.x", "sound.x", "sound.y")
+            put_end(history, server, 2000 * (number + 1), *names)
+        for caller in ("x", "y"):
+            assert history.standing(f"sound.{caller}", 8001).convicted
+            history.put_clearance(f"sound.{caller}", Clearance(cleared_ms=8001))
+        assert not history.standing("sound.y", 8002).convicted
+        assert history.standing("sound.x", 8002).convicted
+        put_end(history, "e", 8500, "sound.y")
+        assert history.standing("sound.y", 8501).convicted
+
     def test_answer_to_one_caller_does_not_clear_another(self) -> None:
         """The clearance of a sound caller leaves the conviction of the crashing one."""
         history = CrashHistory()
