--- a/src/verbenawind/gateway/balance.py
+++ b/src/verbenawind/gateway/balance.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from verbenawind.errors import NoBackendServer
+from verbenawind.errors import NoBackendServer, Outcome
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.types import Instance
 from verbenawind.kernel.messages import Location, Value
@@ -15,10 +15,17 @@
 _NO_SERVER_RETRY_S = 0.5
 
 
-def no_server_error(service: str) -> NoBackendServer:
-    """Return the error for a request whose service has no available server."""
+def no_server_error(service: str, outcome: Outcome = Outcome.NOT_RUN) -> NoBackendServer:
+    """Return the error for a request whose service has no available server.
+
+    Args:
+        service: The service.
+        outcome: Whether a server may have run the request before.
+    """
     return NoBackendServer(
-        f"service {service} has no available server", retry_after_s=_NO_SERVER_RETRY_S
+        f"service {service} has no available server",
+        outcome=outcome,
+        retry_after_s=_NO_SERVER_RETRY_S,
     )
 
 
--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -12,6 +12,7 @@
 
 from verbenawind.clock import Clock
 from verbenawind.gateway.answer_memory import AnswerMemory
+from verbenawind.gateway.broken_trials import BrokenTrial, BrokenTrials
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CrashRecords
 from verbenawind.gateway.crash_rows import CrashReport
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "_answers",
+        "_broken_trials",
         "_clock",
         "_is_assigned",
         "_log",
@@ -85,6 +87,7 @@
         self._clock = clock
         self._store_ms = store_ms
         self._answers = AnswerMemory(clock)
+        self._broken_trials = BrokenTrials(history, records, clock, store_ms)
         # Reported processes that had answered this host since, at the latest checks.
         self._refuted: dict[str, int] = {}
         self._log = structlog.get_logger("crash_guard")
@@ -102,8 +105,12 @@
 
     def is_down_to_one(self, service: str) -> bool:
         """Return whether a service with several servers has at most one left."""
-        ended = self.history.incarnations_ended_since(self._store_ms() - _DOWN_MS)
-        return self.monitor.is_down_to_one(service, ended)
+        left, registered = self._servers_left(service)
+        return left <= 1 < registered
+
+    def is_down(self, service: str) -> bool:
+        """Return whether all servers of a service have probably ended."""
+        return self._servers_left(service)[0] == 0
 
     def standing(self, fingerprint: str) -> Standing:
         """Return what is known of a request."""
@@ -152,6 +159,22 @@
             if known is None or known.cleared_ms < self._store_ms() - _CLEARANCE_AGE_MS:
                 self.records.clear(base)
 
+    def trial_broke(self, fingerprint: str, tried: Standing, incarnation: str) -> None:
+        """Record that the trial of a caller's request broke at a process."""
+        claim = self.history.claim(tried.fingerprint)
+        if claim is None:
+            return
+        self._broken_trials.add(
+            BrokenTrial(
+                fingerprint=fingerprint,
+                convicted=tried.fingerprint,
+                series=tried.series,
+                claim_id=claim.claim_id,
+                incarnation=incarnation,
+                broke_at_s=self._clock.monotonic_s(),
+            )
+        )
+
     def now_ms(self) -> int:
         """Return the store's time, which hosts can compare."""
         return self._store_ms()
@@ -186,6 +209,7 @@
             self.monitor.end_suspected(report.incarnation, self._clock.monotonic_s() - age_s)
         if report.certain and not own:
             self.monitor.end_reported(report.incarnation)
+        self._broken_trials.reported(report.incarnation)
         for fingerprint in added:
             if self._answers.count(fingerprint):
                 self._clear(fingerprint, least_ends=2)
@@ -228,6 +252,10 @@
                 self.records.revoke(incarnation)
         self._refuted = refuted
 
+    def _servers_left(self, service: str) -> tuple[int, int]:
+        ended = self.history.incarnations_ended_since(self._store_ms() - _DOWN_MS)
+        return self.monitor.servers_left(service, ended)
+
     def _standing(self, fingerprint: str, *, undecided: int) -> Standing:
         return self.history.standing(
             fingerprint, self._store_ms(), undecided=undecided, answers=self._answers.count
--- a/src/verbenawind/gateway/guarded_request.py
+++ b/src/verbenawind/gateway/guarded_request.py
@@ -5,11 +5,13 @@
 import structlog
 
 from verbenawind.errors import Outcome, RequestConvicted
+from verbenawind.gateway.balance import no_server_error
 from verbenawind.gateway.crash_guard import CrashGuard
 from verbenawind.gateway.crash_standing import Standing
 from verbenawind.gateway.directory import Backend
 from verbenawind.gateway.fingerprints import request_fingerprint
 from verbenawind.gateway.ports import CallerRequest
+from verbenawind.gateway.server_ends import incarnation_of
 from verbenawind.gateway.unanswered_sends import SendInFlight, UnansweredSend
 
 __all__ = ["GuardedRequest"]
@@ -65,6 +67,7 @@
 
         Raises:
             RequestConvicted: The request is refused for now; nothing was sent.
+            NoBackendServer: It would be tried now, but no server of its service is up.
         """
         if self._is_unsuspicious:
             return
@@ -73,6 +76,12 @@
             self._spare_last_server(Outcome.NOT_RUN)
             return
         term_is_over = standing.refused_until_ms <= self._guard.now_ms()
+        if term_is_over and self._guard.is_down(self._service):
+            # The trial would fail at a process that has ended already.
+            self._log.info(
+                "trial_postponed", request_id=self._request.request_id, fingerprint=self.fingerprint
+            )
+            raise no_server_error(self._service)
         if not term_is_over or not await self._guard.records.claim(
             standing.fingerprint,
             doubtful=standing.doubtful,
@@ -100,12 +109,15 @@
 
         Raises:
             RequestConvicted: The request is refused for now.
+            NoBackendServer: It is convicted, and no server of its service is up.
         """
         if self._is_unsuspicious or self.is_trial:
             return
         if self._guard.standing(self.fingerprint).ends + self._pending >= _ENDS_FOR_LAST_SERVER:
             await self._guard.monitor.probed(self.fingerprint)
         if self._guard.standing(self.fingerprint).convicted:
+            if self._guard.is_down(self._service):
+                raise no_server_error(self._service, outcome)
             raise self._refusal(outcome)
         self._spare_last_server(outcome)
 
@@ -133,8 +145,11 @@
 
     def broke(self, send: SendInFlight) -> None:
         """Record that a send broke after the server may have run the request."""
-        if not self._request.owed:
-            self._guard.monitor.send_broke(send, self.now_ms())
+        if self._request.owed:
+            return
+        if self.is_trial:
+            self._guard.trial_broke(self.fingerprint, self._tried, incarnation_of(send.backend))
+        self._guard.monitor.send_broke(send, self.now_ms())
 
     def unanswered(self, send: SendInFlight) -> None:
         """Record that a send was given up without an answer."""
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -131,8 +131,8 @@
             for backend in self._directory.all()
         )
 
-    def is_down_to_one(self, service: str, ended: Collection[str]) -> bool:
-        """Return whether at most one of a service's several servers is left.
+    def servers_left(self, service: str, ended: Collection[str]) -> tuple[int, int]:
+        """Return how many servers of a service are left, and how many are registered.
 
         Args:
             service: The service.
@@ -140,7 +140,7 @@
         """
         servers = self._directory.backends(service)
         left = [s for s in servers if not s.suspected and incarnation_of(s) not in ended]
-        return len(left) <= 1 < len(servers)
+        return len(left), len(servers)
 
     def begin(self, backend: Backend, send: UnansweredSend, patience_s: float) -> SendInFlight:
         """Follow a send until it is answered or given up.
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -358,6 +358,14 @@
         "A server answered the trial of a convicted request; the trial is given back.",
         "fingerprint culprit",
     ),
+    "trial_postponed": _event(
+        "A convicted request would be tried now, but all servers of its service seem down.",
+        "request_id fingerprint",
+    ),
+    "trial_given_back": _event(
+        "A trial broke at a server that had ended before; it counts no more.",
+        "fingerprint crash",
+    ),
     "trial_not_claimed": _event(
         "A convicted request is not sent: another host tries it, or the store is away.",
         "fingerprint reason",
--- a/tests/node/test_repeats_under_pressure.py
+++ b/tests/node/test_repeats_under_pressure.py
@@ -14,7 +14,7 @@
 import pytest
 
 from node.test_crashing_requests import CONTACT_S, MAX_LATE_SENDS, POISON, Desk, run_desk
-from verbenawind.errors import RequestConvicted, VerbenawindError
+from verbenawind.errors import NoBackendServer, Outcome, RequestConvicted, VerbenawindError
 from verbenawind.gateway import Reply, RouteKind
 
 CRASH_AFTER_S = 0.1
@@ -22,6 +22,7 @@
 HOSTS = 12
 LOAD_S = 60.0
 SOUND_PERIOD_S = 1 / 6
+FIRST_TERM_S = 1.0
 IDEMPOTENT = RouteKind.IDEMPOTENT
 ONCE = RouteKind.NON_IDEMPOTENT
 KINDS = [IDEMPOTENT, ONCE]
@@ -288,6 +289,86 @@
 
         run_desk(work, hosts=HOSTS, servers=3)
 
+    # Guards against trials that were spent while no server could pass them.
+    def test_no_trial_is_spent_while_all_servers_are_down(self) -> None:
+        """The request is refused as not run, for the reason that no server is up; then tried."""
+
+        async def work(desk: Desk) -> None:
+            for server in desk.servers:
+                server.proxied = True
+            desk.fleet.poison(POISON, back_after_s=BACK_AFTER_S)
+            while len(desk.sends_at_s()) < 3:
+                await desk.ask(0, POISON, kind=ONCE)
+                await desk.fleet.clock.sleep(0.3)
+            for server in desk.servers:
+                if not server.down:
+                    server.crash()
+            assert isinstance(await desk.ask(0, b"card", kind=ONCE), VerbenawindError)
+            await desk.fleet.clock.sleep(FIRST_TERM_S + 0.1)
+            for host in range(3):
+                answer = await desk.ask(host, POISON, kind=ONCE)
+                assert isinstance(answer, NoBackendServer)
+                assert answer.outcome is Outcome.NOT_RUN
+            await desk.fleet.clock.sleep(BACK_AFTER_S)
+            for server in desk.servers:
+                server.crash_bodies.clear()
+            assert isinstance(await desk.ask(0, POISON, kind=ONCE), Reply)
+
+        run_desk(work, servers=4)
+
+    # Guards against sound callers that were refused for minutes for the ends under crashing ones.
+    @pytest.mark.parametrize("seed", range(1, 9))
+    def test_sound_callers_of_the_same_bytes_may_soon_return(self, seed: int) -> None:
+        """Connections to an ended server are accepted and closed, so sends to it look like ends.
+
+        Four crashing requests keep most servers down. Callers at other addresses send the same
+        bytes soundly, and run on servers that end; none waits for more than the first term.
+        """
+        cases = 4
+        crashing: set[str] = set()
+        attempts: list[set[str]] = [set() for _ in range(cases)]
+
+        async def work(desk: Desk) -> None:
+            rng = Random(seed)
+            fleet = desk.fleet
+            sound: list[Reply | VerbenawindError | None] = []
+            for server in desk.servers:
+                server.crash_requests = crashing
+                server.proxied = True
+                fleet.restart_after_crashes(server, BACK_AFTER_S)
+
+            async def ask(case: int, caller: str) -> Reply | VerbenawindError | None:
+                kind = ONCE if case % 2 else IDEMPOTENT
+                body = f"card {case}".encode()
+                return await desk.ask(rng.randrange(HOSTS), body, kind=kind, caller=caller)
+
+            async def repeat(case: int) -> None:
+                while True:
+                    for pause_s in (0.1, rng.uniform(1.0, 4.0)):
+                        request_id = f"ask-{desk.requests + 1}"
+                        crashing.add(request_id)
+                        attempts[case].add(request_id)
+                        await ask(case, f"10.0.0.{case}")
+                        await fleet.clock.sleep(pause_s)
+
+            async def ask_soundly(case: int) -> None:
+                while True:
+                    sound.append(await ask(case, f"10.0.1.{case}"))
+                    await fleet.clock.sleep(rng.uniform(0.4, 1.0))
+
+            tasks = [asyncio.ensure_future(repeat(case)) for case in range(cases)]
+            tasks += [asyncio.ensure_future(ask_soundly(case)) for case in range(cases)]
+            await fleet.clock.sleep(LOAD_S)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            late_sends = [late_sends_of(desk, requests) for requests in attempts]
+            assert max(late_sends) <= MAX_LATE_SENDS
+            refusals = [answer for answer in sound if isinstance(answer, RequestConvicted)]
+            assert all(refusal.retry_after_s <= FIRST_TERM_S for refusal in refusals), len(refusals)
+
+        run_desk(work, hosts=HOSTS, servers=3, seed=seed)
+
 
 class TestCallersBehindOneAddress:
     @pytest.mark.parametrize("kind", KINDS)
