--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -205,8 +205,7 @@
         """Log what a report changes, and clear requests that this host knows to be sound."""
         now_ms = self._store_ms()
         if not own and report.ended_ms > now_ms - _DOWN_MS:
-            age_s = max(0, now_ms - report.ended_ms) / 1000
-            self.monitor.end_suspected(report.incarnation, self._clock.monotonic_s() - age_s)
+            self.monitor.end_suspected(report.incarnation, self._monotonic_s(report.ended_ms))
         if report.certain and not own:
             self.monitor.end_reported(report.incarnation)
         self._broken_trials.reported(report.incarnation)
@@ -239,11 +238,10 @@
 
         To a host in a partition that refuses connections, all servers beyond it seem to have ended.
         """
-        now_ms, now_s = self._store_ms(), self._clock.monotonic_s()
-        ended = self.history.incarnations_ended_since(now_ms - _CHECKED_REPORTS_MS)
+        ended = self.history.incarnations_ended_since(self._store_ms() - _CHECKED_REPORTS_MS)
         refuted: dict[str, int] = {}
         for incarnation, ended_ms in ended.items():
-            ended_at_s = now_s - (now_ms - ended_ms) / 1000
+            ended_at_s = self._monotonic_s(ended_ms)
             if not self.monitor.answered_since(incarnation, ended_at_s + _ANSWER_MARGIN_S):
                 continue
             refuted[incarnation] = self._refuted.get(incarnation, 0) + 1
@@ -253,9 +251,18 @@
         self._refuted = refuted
 
     def _servers_left(self, service: str) -> tuple[int, int]:
-        ended = self.history.incarnations_ended_since(self._store_ms() - _DOWN_MS)
+        reported = self.history.incarnations_ended_since(self._store_ms() - _DOWN_MS)
+        ended = [
+            incarnation
+            for incarnation, ended_ms in reported.items()
+            if not self.monitor.answered_since(incarnation, self._monotonic_s(ended_ms))
+        ]
         return self.monitor.servers_left(service, ended)
 
+    def _monotonic_s(self, store_ms: int) -> float:
+        """Return this host's monotonic time at a time of the store."""
+        return self._clock.monotonic_s() - (self._store_ms() - store_ms) / 1000
+
     def _standing(self, fingerprint: str, *, undecided: int) -> Standing:
         return self.history.standing(
             fingerprint, self._store_ms(), undecided=undecided, answers=self._answers.count
