--- a/src/verbenawind/gateway/crash_guard.py
+++ b/src/verbenawind/gateway/crash_guard.py
@@ -205,7 +205,12 @@
         """Log what a report changes, and clear requests that this host knows to be sound."""
         now_ms = self._store_ms()
         if not own and report.ended_ms > now_ms - _DOWN_MS:
-            self.monitor.end_suspected(report.incarnation, self._monotonic_s(report.ended_ms))
+            reports = self.history.reports_of_incarnation(report.incarnation)
+            self.monitor.end_suspected(
+                report.incarnation,
+                self._monotonic_s(report.ended_ms),
+                confirmed=len(reports) > 1,
+            )
         if report.certain and not own:
             self.monitor.end_reported(report.incarnation)
         self._broken_trials.reported(report.incarnation)
--- a/src/verbenawind/gateway/directory.py
+++ b/src/verbenawind/gateway/directory.py
@@ -17,6 +17,7 @@
 _MIN_OUTAGE_S = 1.5
 _FIRST_SUSPICION_S = 0.5
 _MAX_SUSPICION_S = 4.0
+_HEARSAY_SUSPICION_S = 1.0
 # Weight of the newest measurement in the moving average.
 _LATENCY_WEIGHT = 0.3
 # Latency estimates decay with this half-life, so that slow servers are tried again.
@@ -137,9 +138,16 @@
         self._last_contact_s = self._clock.monotonic_s()
         self._suspected_until_s = self._last_contact_s + suspicion_s
 
-    def suspect(self) -> None:
-        """Prefer other servers for a while, as this one has probably ended."""
-        self._suspected_until_s = self._clock.monotonic_s() + _MAX_SUSPICION_S
+    def suspect(self, *, confirmed: bool = True) -> None:
+        """Prefer other servers for a while, as this one has probably ended.
+
+        Args:
+            confirmed: Whether this host, or several others, found it ended. A single other host may
+                be cut off from it.
+        """
+        suspicion_s = _MAX_SUSPICION_S if confirmed else _HEARSAY_SUSPICION_S
+        until_s = self._clock.monotonic_s() + suspicion_s
+        self._suspected_until_s = max(self._suspected_until_s, until_s)
 
     def record_version(self, model: str, version: int) -> None:
         """Record the weight version of a model that the server reported."""
--- a/src/verbenawind/gateway/server_ends.py
+++ b/src/verbenawind/gateway/server_ends.py
@@ -198,18 +198,19 @@
         if watch is not None:
             self._start_probe(watch, delay_s=_ABANDONED_PROBE_DELAY_S)
 
-    def end_suspected(self, incarnation: str, ended_s: float) -> None:
-        """Prefer other servers to one whose process another host found ended or unresponsive.
+    def end_suspected(self, incarnation: str, ended_s: float, *, confirmed: bool) -> None:
+        """Prefer other servers to one whose process other hosts found ended or unresponsive.
 
         Args:
             incarnation: The process.
             ended_s: Monotonic time of the finding.
+            confirmed: Whether several hosts found so.
         """
         if self.answered_since(incarnation, ended_s):
             return
         for backend in self._directory.all():
             if incarnation_of(backend) == incarnation:
-                backend.suspect()
+                backend.suspect(confirmed=confirmed)
 
     def end_reported(self, incarnation: str) -> None:
         """Apply another host's finding that a process has ended to what this host sent it."""
