--- a/src/verbenawind/gateway/crash_ends.py
+++ b/src/verbenawind/gateway/crash_ends.py
@@ -87,20 +87,28 @@
     return sum(end.certain for end in ends.values()) >= CONVICTION_ENDS
 
 
-def end_of_term_ms(ends: Mapping[str, End], counted: Mapping[str, End], *, doubtful: bool) -> int:
+def end_of_term_ms(
+    certain: Mapping[str, End],
+    ends: Mapping[str, End],
+    counted: Mapping[str, End],
+    *,
+    doubtful: bool,
+) -> int:
     """Return when a convicted request may next be tried, apart from any claim, or 0 for at once.
 
     Each send after the conviction lengthens the term, as a trial does: hosts that did not know of
-    the conviction made it. Those of other callers do as well, from the second one on.
+    the conviction made it. Those of other callers do as well, from the second one on. Ends after
+    the conviction need not be certain, since the next trial would come before they are.
 
     Args:
-        ends: The ends that convict it.
-        counted: Those under the callers that share the term.
+        certain: The ends that convict it.
+        ends: All ends under it.
+        counted: Those of them under the callers that share the term.
         doubtful: Whether the ends may have another cause.
     """
-    if len(ends) < CONVICTION_ENDS:
+    if len(certain) < CONVICTION_ENDS:
         return 0
-    convicted_ms = sorted(end.ended_ms for end in ends.values())[CONVICTION_ENDS - 1]
+    convicted_ms = sorted(end.ended_ms for end in certain.values())[CONVICTION_ENDS - 1]
     late_sends = _sent_after(counted, convicted_ms)
     late_sends_of_all = _sent_after(ends, convicted_ms)
     if late_sends_of_all - 1 > late_sends:
--- a/tests/gateway/test_crash_history.py
+++ b/tests/gateway/test_crash_history.py
@@ -354,6 +354,17 @@
         for caller in ("x", "y", "z"):
             assert history.standing(f"f.{caller}", 42_001).refused_until_ms >= 640_000
 
+    # Guards against trials in a row at servers whose ends only a proxy tells of at first.
+    def test_uncertain_late_ends_lengthen_terms(self) -> None:
+        """Three certain ends convict; two later ones count before the registry confirms them."""
+        history = CrashHistory()
+        for number, server in enumerate(("a", "b", "c")):
+            put_end(history, server, 1000 * number, "f.x")
+        put_end(history, "d", 8000, "f.x", certain=False)
+        assert history.standing("f.x", 8001).refused_until_ms == 38_000
+        put_end(history, "e", 9000, "f.x", certain=False)
+        assert history.standing("f.x", 9001).refused_until_ms == 609_000
+
     def test_trials_that_make_a_caller_convict_itself_count_for_it(self) -> None:
         """Addresses in turn: the two trials of one of them ended servers, its third end is late."""
         history = CrashHistory()
