--- a/src/verbenawind/gateway/crash_history.py
+++ b/src/verbenawind/gateway/crash_history.py
@@ -331,7 +331,8 @@
     def _is_excused(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether each end under a caller's request has another cause.
 
-        That is a request of a caller at another address which convicts itself, also by other ends.
+        That is a request of a caller at another address which nobody has answered lately, and which
+        convicts itself, also by other ends.
         """
         own = self._ends(fingerprint, now_ms)
         causes: dict[str, bool] = {}
@@ -343,12 +344,18 @@
             ]
             for name in others:
                 if name not in causes:
-                    ends = self._ends(name, now_ms)
-                    causes[name] = is_repeat_offence(ends) and bool(ends.keys() - own.keys())
+                    causes[name] = self._is_culprit_beyond(name, own, now_ms)
             if not any(causes[name] for name in others):
                 return False
         return True
 
+    def _is_culprit_beyond(self, fingerprint: str, ends: Mapping[str, End], now_ms: int) -> bool:
+        """Return whether a caller's unanswered request convicts itself, also by further ends."""
+        if self._cleared_ms(fingerprint) >= now_ms - _LATELY_MS and fingerprint in self._clearances:
+            return False
+        own = self._ends(fingerprint, now_ms)
+        return is_repeat_offence(own) and bool(own.keys() - ends.keys())
+
     def _is_outweighed(self, fingerprint: str, now_ms: int, answers: Callable[[str], int]) -> bool:
         """Return whether the ends under a caller's request outweigh the answers that it got."""
         ends = len(self._ends(fingerprint, now_ms, now_ms - _WEIGHED_MS))
