--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -137,6 +137,22 @@
                             yield data
                         guarded.answered(in_flight, response.status)
                         return
+                elif response.status != _OK:
+                    guarded.answered(in_flight, response.status)
+                    history.failed(
+                        BackendServerFailed(
+                            f"server {choice.instance_id} did not resume the stream: "
+                            f"status {response.status}"
+                        )
+                    )
+                    self._log.info(
+                        "stream_not_resumed",
+                        request_id=request.request_id,
+                        server=choice.instance_id,
+                        status=response.status,
+                        last_event=last_id,
+                    )
+                    continue
                 async for event_id, raw in self._events(response, route):
                     if last_id is not None and event_id != last_id + 1:
                         raise BackendServerFailed(
@@ -168,6 +184,9 @@
                     error=failure.message,
                     last_event=last_id,
                 )
+                if first_response is not None and first_response.status != _OK:
+                    # Only an event stream can be continued by another response.
+                    break
             except (asyncio.CancelledError, GeneratorExit):
                 guarded.unanswered(in_flight)
                 raise
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -464,6 +464,10 @@
         "An engine's stream ended before it was complete.",
         "request_id fingerprint server started_ms error last_event",
     ),
+    "stream_not_resumed": _event(
+        "A server answered a resumed stream with an error instead of its events.",
+        "request_id server status last_event",
+    ),
     "stream_answered": _event(
         "A stream was forwarded to its end.", "request_id route pieces took_s"
     ),
