--- a/src/verbenawind/batches/job_registry.py
+++ b/src/verbenawind/batches/job_registry.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Sequence
 
-import msgspec
 import structlog
 
 from verbenawind.batches.job_rows import StoredJob, decode_job
 from verbenawind.batches.types import JobRecord, JobState
 from verbenawind.clock import Clock
+from verbenawind.errors import Undecodable
 from verbenawind.kernel.row_ports import StoredRow
 
 __all__ = ["JobRegistry", "KnownJob"]
@@ -54,8 +54,8 @@
             return
         try:
             record = decode_job(row.value)
-        except msgspec.MsgspecError as error:
-            self._log.error("job_unreadable", job_id=row.row_id.part, error=str(error))
+        except Undecodable as error:
+            self._log.error("job_unreadable", job_id=row.row_id.part, error=error.message)
             return
         self.put(StoredJob(record=record, version=row.version))
 
--- a/src/verbenawind/batches/job_rows.py
+++ b/src/verbenawind/batches/job_rows.py
@@ -1,8 +1,7 @@
 """The rows and objects of batch jobs: their names, and the types of what they hold."""
 
-import msgspec
-
 from verbenawind.batches.types import ItemResult, JobRecord
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowId
 
@@ -86,8 +85,12 @@
 
 
 def decode_job(value: bytes) -> JobRecord:
-    """Decode the value of a job's row."""
-    return msgspec.json.decode(value, type=JobRecord)
+    """Decode the value of a job's row.
+
+    Raises:
+        Undecodable: It is no job's.
+    """
+    return decode_json(value, JobRecord)
 
 
 def to_stored_result(result: ItemResult) -> StoredResult:
--- a/src/verbenawind/batches/job_store.py
+++ b/src/verbenawind/batches/job_store.py
@@ -33,6 +33,7 @@
 )
 from verbenawind.errors import RowConflict, StoreUnavailable
 from verbenawind.ids import digest_hex
+from verbenawind.kernel.decoding import decode_msgpack
 from verbenawind.kernel.row_ports import (
     RowCheck,
     RowId,
@@ -127,7 +128,7 @@
                 f"the submission of job {record.job_id} is missing from the store",
                 effect_possible=False,
             )
-        return msgspec.msgpack.decode(data, type=BatchSubmission)
+        return decode_msgpack(data, BatchSubmission)
 
     async def _submission_data(self, record: JobRecord, timeout_s: float) -> bytes | None:
         """Return the joined rows of a submission, or None if one is missing."""
@@ -272,9 +273,7 @@
         while more:
             page = await self._store.rows(TEXTS_TABLE, job_id, timeout_s, first=first)
             found += [
-                msgspec.msgpack.decode(row.value, type=KeptText)
-                for row in page.rows
-                if row.value is not None
+                decode_msgpack(row.value, KeptText) for row in page.rows if row.value is not None
             ]
             more = page.has_more and bool(page.rows)
             first = page.rows[-1].row_id.key + "\0" if page.rows else ""
@@ -292,7 +291,7 @@
         for row in page.rows:
             if row.value is None:
                 continue
-            stored = msgspec.msgpack.decode(row.value, type=list[StoredResult])
+            stored = decode_msgpack(row.value, list[StoredResult])
             first = int(row.row_id.key) - len(stored) + 1
             for result in stored[max(0, after - first) :]:
                 text = await self._load_text(result, timeout_s)
@@ -339,7 +338,7 @@
         """Delete the objects of texts that were too large for a result row."""
         if table != RESULTS_TABLE or value is None:
             return
-        for result in msgspec.msgpack.decode(value, type=list[StoredResult]):
+        for result in decode_msgpack(value, list[StoredResult]):
             if result.text_object:
                 await self._store.delete_object(result.text_object, timeout_s)
 
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -40,6 +40,7 @@
     "StreamTruncated",
     "TooLarge",
     "Unauthorized",
+    "Undecodable",
     "UnknownEnvironment",
     "UnknownResource",
     "VerbenawindError",
@@ -145,6 +146,12 @@
     code = "invalid_request"
 
 
+class Undecodable(VerbenawindError):
+    """Raised when the bytes of another program are not a value of the expected type."""
+
+    code = "undecodable"
+
+
 class RequestTooSlow(InvalidRequest):
     """Raised when a request's body did not arrive in time."""
 
--- a/src/verbenawind/gateway/crash_records.py
+++ b/src/verbenawind/gateway/crash_records.py
@@ -12,11 +12,12 @@
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.errors import RowConflict, StoreUnavailable, Undecodable
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_rows import Clearance, CrashReport, TrialClaim
 from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.ids import digest_hex, new_id
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.row_ports import (
     RowCheck,
     RowId,
@@ -135,8 +136,8 @@
             elif key.startswith(_CLAIM_PREFIX):
                 fingerprint = key.removeprefix(_CLAIM_PREFIX)
                 self._history.put_claim(fingerprint, _decode(row.value, TrialClaim))
-        except msgspec.MsgspecError as error:
-            self._log.warning("crash_row_unreadable", key=key, error=str(error))
+        except Undecodable as error:
+            self._log.warning("crash_row_unreadable", key=key, error=error.message)
 
     def report(
         self,
@@ -330,4 +331,4 @@
 
 
 def _decode(value: bytes | None, row_type: type[T]) -> T | None:
-    return None if value is None else msgspec.json.decode(value, type=row_type)
+    return None if value is None else decode_json(value, row_type)
--- a/src/verbenawind/gateway/limit_records.py
+++ b/src/verbenawind/gateway/limit_records.py
@@ -8,12 +8,13 @@
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.errors import RowConflict, StoreUnavailable, Undecodable
 from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.directory import Directory
 from verbenawind.gateway.server_limits import NamedLimit, ServerLimits, instance_incarnation
 from verbenawind.gateway.turn_pool import schedule_row_id
 from verbenawind.ids import digest_hex
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import (
     RowCheck,
@@ -112,9 +113,9 @@
             self._versions.pop(key, None)
             return
         try:
-            stored = msgspec.json.decode(row.value, type=_LimitRow)
-        except msgspec.MsgspecError as error:
-            self._log.warning("limit_row_unreadable", key=key, error=str(error))
+            stored = decode_json(row.value, _LimitRow)
+        except Undecodable as error:
+            self._log.warning("limit_row_unreadable", key=key, error=error.message)
             return
         self._versions[key] = max(row.version, self._versions.get(key, 0))
         self._rows[key] = stored
--- a/src/verbenawind/gateway/turn_pool.py
+++ b/src/verbenawind/gateway/turn_pool.py
@@ -12,12 +12,13 @@
 import msgspec
 import structlog
 
-from verbenawind.errors import LimitReached, RowConflict, StoreUnavailable
+from verbenawind.errors import LimitReached, RowConflict, StoreUnavailable, Undecodable
 from verbenawind.gateway.limit_schedule import LimitSchedule, own_turn_ms, reserve
 from verbenawind.gateway.server_limits import Permit, instance_incarnation
 from verbenawind.gateway.turn_source import TurnSource
 from verbenawind.gateway.types import Instance
 from verbenawind.ids import digest_hex, new_id
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowId, replacement_transaction
 
@@ -345,10 +346,10 @@
         self._version = conflict.versions.get(row_id.key, 0)
         former_ms = self._schedule.next_ms
         try:
-            row = msgspec.json.decode(conflict.values.get(row_id.key) or b"", type=_ScheduleRow)
-        except msgspec.MsgspecError as error:
+            row = decode_json(conflict.values.get(row_id.key) or b"", _ScheduleRow)
+        except Undecodable as error:
             # The row was deleted, or is not a schedule: what this host knows holds.
-            self._log.info("limit_row_unreadable", key=row_id.part, error=str(error))
+            self._log.info("limit_row_unreadable", key=row_id.part, error=error.message)
             return
         self._schedule = row.schedule
         if former_ms and row.schedule.next_ms > former_ms:
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -408,7 +408,7 @@
         "A row on a server's limit could not be written; it is retried.", "key reason"
     ),
     "server_entry_unusable": _event(
-        "A backend server's registration is malformed or unusable.", "server version"
+        "A backend server's registration names no server to use.", "server version error"
     ),
     "store_lost": _event(
         "A direct store call failed while the store was considered reachable.", "reason"
@@ -417,6 +417,9 @@
     "feed_unavailable": _event(
         "A feed does not respond; logged once per interruption.", "table error age_s"
     ),
+    "feed_row_not_applied": _event(
+        "A row of a feed could not be applied and is skipped.", "table part key version exc_info"
+    ),
     "feed_regained": _event("A feed responds again.", "table silent_s"),
     "feed_history_lost": _event(
         "The store no longer has all changes; the rows are read again.", "table version"
@@ -548,6 +551,7 @@
         "Another host acquired the lease first, or the store failed.", "lease reason"
     ),
     "lease_lost": _event("This host no longer holds a lease.", "epoch lease reason"),
+    "lease_row_unreadable": _event("The row of a lease is malformed.", "key error"),
     "lease_not_renewed": _event("A lease renewal failed.", "reason"),
     "lease_not_released": _event("A lease could not be released.", "lease reason"),
     "background_work_failed": _event("A background task failed and is restarted.", "work exc_info"),
--- a/src/verbenawind/node.py
+++ b/src/verbenawind/node.py
@@ -10,7 +10,6 @@
 from random import Random
 from typing import Protocol
 
-import msgspec
 import structlog
 
 from verbenawind.batches import (
@@ -26,6 +25,7 @@
     StoredJob,
 )
 from verbenawind.clock import Clock
+from verbenawind.errors import Undecodable
 from verbenawind.gateway import (
     CRASH_KEY_PREFIX,
     LIMIT_KEY_PREFIX,
@@ -91,11 +91,15 @@
         """Decode a configuration or a published version; return None for other rows.
 
         Raises:
-            msgspec.MsgspecError: The row is malformed.
+            Undecodable: The row is malformed.
         """
 
-    def instance(self, instance_id: str, value: bytes) -> Instance | None:
-        """Decode a backend server's registration; return None if it is unusable."""
+    def instance(self, instance_id: str, value: bytes) -> Instance:
+        """Decode a backend server's registration.
+
+        Raises:
+            Undecodable: The entry is malformed or names no server that could be used.
+        """
 
 
 class NodeSettings(Value, frozen=True, kw_only=True):
@@ -156,6 +160,8 @@
         self._log = structlog.get_logger("node")
         self.routes: RouteTable | None = None
         self.newest_versions: dict[str, int] = {}
+        # Ids whose registry entries name no server to use.
+        self.unusable_servers: set[str] = set()
 
         self.operator_feed = self._create_follower(
             registry.operator_table, self._apply_operator_row
@@ -388,8 +394,8 @@
             return
         try:
             decoded = self._registry.operator_row(row.row_id.key, row.value)
-        except msgspec.MsgspecError as error:
-            self._log.error("operator_row_unreadable", key=row.row_id.key, error=str(error))
+        except Undecodable as error:
+            self._log.error("operator_row_unreadable", key=row.row_id.key, error=error.message)
             return
         if isinstance(decoded, GatewayConfiguration):
             self._apply_configuration(decoded)
@@ -414,12 +420,23 @@
     def _apply_server_row(self, row: StoredRow) -> None:
         instance_id = row.row_id.key
         if row.value is None:
+            self.unusable_servers.discard(instance_id)
             self.directory.remove(instance_id)
             return
-        instance = self._registry.instance(instance_id, row.value)
-        if instance is None:
-            self._log.info("server_entry_unusable", server=instance_id, version=row.version)
+        try:
+            instance = self._registry.instance(instance_id, row.value)
+        except Undecodable as error:
+            # Whatever the entry said before, it names no server to use now.
+            self.unusable_servers.add(instance_id)
+            self.directory.remove(instance_id)
+            self._log.warning(
+                "server_entry_unusable",
+                server=instance_id,
+                version=row.version,
+                error=error.message,
+            )
             return
+        self.unusable_servers.discard(instance_id)
         self.directory.put(instance)
         self.load_scheduler.wake()
 
--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from verbenawind.errors import Undecodable
 from verbenawind.gateway import (
     EngineTraits,
     GatewayConfiguration,
@@ -16,6 +17,7 @@
     Service,
     ServiceShare,
 )
+from verbenawind.kernel.decoding import convert_value, decode_json
 from verbenawind.kernel.messages import Location
 from verbenawind.node import NamedVersion
 from verbenawind.platform.names import OPERATOR_TABLE, SERVERS_TABLE
@@ -131,16 +133,24 @@
         self._region_of_zone = region_of_zone
 
     def operator_row(self, key: str, value: bytes) -> GatewayConfiguration | NamedVersion | None:
-        """Decode a configuration or a trainer's version; None for other keys."""
+        """Decode a configuration or a trainer's version; None for other keys.
+
+        Raises:
+            Undecodable: The row is malformed.
+        """
         if key == _CONFIGURATION_KEY:
             return decode_configuration(value)
         if not key.startswith(_VERSION_KEY_PREFIX):
             return None
-        wire = msgspec.json.decode(value, type=_NamedVersion)
+        wire = decode_json(value, _NamedVersion)
         return NamedVersion(model=wire.model, version=wire.version)
 
-    def instance(self, instance_id: str, value: bytes) -> Instance | None:
-        """Decode a backend server's registration; None if it is unusable."""
+    def instance(self, instance_id: str, value: bytes) -> Instance:
+        """Decode a backend server's registration.
+
+        Raises:
+            Undecodable: The entry is malformed or names no server that could be used.
+        """
         return decode_instance(instance_id, value, self._region_of_zone)
 
 
@@ -148,9 +158,9 @@
     """Decode the operator's configuration; routes of an unknown kind are ignored.
 
     Raises:
-        msgspec.MsgspecError: The value is not a valid configuration.
+        Undecodable: The value is not a valid configuration.
     """
-    wire = msgspec.json.decode(value, type=_Configuration)
+    wire = decode_json(value, _Configuration)
     limits = wire.limits
     return GatewayConfiguration(
         version=wire.version,
@@ -165,18 +175,24 @@
     )
 
 
-def decode_instance(
-    instance_id: str, value: bytes, region_of_zone: Mapping[str, str]
-) -> Instance | None:
-    """Decode a backend server's registration; return None if it is malformed or unusable."""
+def decode_instance(instance_id: str, value: bytes, region_of_zone: Mapping[str, str]) -> Instance:
+    """Decode a backend server's registration.
+
+    Raises:
+        Undecodable: The entry is malformed or names no server that could be used.
+    """
+    raw = decode_json(value, object)
     try:
-        raw: Any = msgspec.json.decode(value)
-        wire = msgspec.convert(_integral_floats_to_int(raw), _Server)
-    except msgspec.MsgspecError:
-        return None
+        raw = _integral_floats_to_int(raw)
+    except RecursionError as error:
+        raise Undecodable(f"not a valid Server: {error}") from error
+    wire = convert_value(raw, _Server)
     host, _, port = wire.address.rpartition(":")
     if not host or not port.isdigit() or not wire.service or wire.slots < 1:
-        return None
+        raise Undecodable(
+            f"not a valid Server: service {wire.service!r}, address {wire.address!r}, "
+            f"slots {wire.slots}"
+        )
     return Instance(
         instance_id=instance_id,
         service=wire.service,
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -29,6 +29,7 @@
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
 from verbenawind.plugins.tcp_probe import TcpProbe
 from verbenawind.state.relay import RelayClient, RelayServer
+from verbenawind.state.table_follower import TableFollower
 
 __all__ = ["PlatformDaemon", "run"]
 
@@ -282,10 +283,24 @@
         for answer, count in self.node.load_scheduler.counts.answers.items():
             set_gauge("orders", "Load orders to engines, by answer.", count, answer=answer)
         for feed in ("operator", "servers", "hosts", "jobs"):
-            age_s = getattr(self.node, f"{feed}_feed").age_s()
+            follower: TableFollower = getattr(self.node, f"{feed}_feed")
             set_gauge(
-                "feed_age_seconds", "Time since the last response of a feed.", age_s, feed=feed
+                "feed_age_seconds",
+                "Time since the last response of a feed.",
+                follower.age_s(),
+                feed=feed,
             )
+            set_gauge(
+                "feed_rows_failed",
+                "Rows of a feed that could not be applied and were skipped.",
+                follower.rows_failed,
+                feed=feed,
+            )
+        set_gauge(
+            "server_entries_unusable",
+            "Registry entries that name no server to use.",
+            len(self.node.unusable_servers),
+        )
         self._update_server_gauges()
         set_gauge("jobs_owned", "Open batch jobs owned by this daemon.", len(self.node.runner.jobs))
         set_gauge(
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -16,7 +16,9 @@
     HistoryLost,
     RowConflict,
     StoreUnavailable,
+    Undecodable,
 )
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.row_ports import (
     RowChanges,
     RowId,
@@ -30,6 +32,8 @@
 
 __all__ = ["PlatformStore"]
 
+T = TypeVar("T")
+
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -56,7 +60,7 @@
     def decode(self) -> StoredRow:
         return StoredRow(
             row_id=RowId(table=self.table, part=self.part, key=self.key),
-            value=None if self.removed else base64.b64decode(self.value),
+            value=None if self.removed else _row_value(self.value),
             version=self.ver,
         )
 
@@ -179,7 +183,7 @@
         while True:
             query = {"table": table} | ({"after": parts[-1]} if parts else {})
             reply, _ = await self._call(_get("/api/rows-parts", query), timeout_s)
-            page = msgspec.json.decode(reply.body, type=_WireParts)
+            page = self._decode(reply.body, _WireParts)
             parts += page.parts
             if not page.has_more or not page.parts:
                 return parts
@@ -364,14 +368,20 @@
         )
 
     def _decode_page(self, body: bytes) -> _WirePage:
-        try:
-            page = msgspec.json.decode(body, type=_WirePage)
-        except msgspec.MsgspecError as error:
-            raise StoreUnavailable(f"invalid response: {error}", effect_possible=True) from error
+        page = self._decode(body, _WirePage)
         if page.now_ms >= self._store_ms:
             self._store_ms, self._store_ms_at_s = page.now_ms, self._clock.monotonic_s()
         return page
 
+    @staticmethod
+    def _decode(body: bytes, kind: type[T]) -> T:
+        try:
+            return decode_json(body, kind)
+        except Undecodable as error:
+            raise StoreUnavailable(
+                f"invalid response: {error.message}", effect_possible=True
+            ) from error
+
     def _max_body_bytes(self, kind: str) -> int:
         """Return the size beyond which an answer to a kind of call is an error."""
         return self._max_object_bytes if kind == "blob-get" else _MAX_PAGE_BYTES
@@ -390,6 +400,14 @@
 _PREFER_RELAY_S = 1.0
 
 
+def _row_value(encoded: str) -> bytes:
+    """Return a row's value, empty if it is not base64; no reader accepts an empty value."""
+    try:
+        return base64.b64decode(encoded)
+    except ValueError:
+        return b""
+
+
 def _get(path: str, query: Mapping[str, Any]) -> StoreCall:
     return StoreCall(method="GET", target=f"{path}?{urlencode(query)}")
 
--- a/src/verbenawind/state/heartbeats.py
+++ b/src/verbenawind/state/heartbeats.py
@@ -11,7 +11,8 @@
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.errors import RowConflict, StoreUnavailable, Undecodable
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Location, Value
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement_transaction
 
@@ -158,9 +159,9 @@
             self._received.pop(host, None)
             return
         try:
-            heartbeat = msgspec.json.decode(row.value, type=HostHeartbeat)
-        except msgspec.MsgspecError as error:
-            self._log.warning("beat_unreadable", peer=host, error=str(error))
+            heartbeat = decode_json(row.value, HostHeartbeat)
+        except Undecodable as error:
+            self._log.warning("beat_unreadable", peer=host, error=error.message)
             return
         previous = self._received.get(host)
         if previous is not None and previous.version == row.version:
--- a/src/verbenawind/state/row_lease.py
+++ b/src/verbenawind/state/row_lease.py
@@ -13,7 +13,8 @@
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.errors import RowConflict, StoreUnavailable, Undecodable
+from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement_transaction
 from verbenawind.state.heartbeats import host_of
@@ -165,10 +166,21 @@
             return
         self._version = row.version
         self._observed_at_s = self._clock.monotonic_s()
-        self._observed = msgspec.json.decode(row.value, type=_LeaseRecord)
+        try:
+            self._observed = decode_json(row.value, _LeaseRecord)
+        except Undecodable as error:
+            self._log.warning("lease_row_unreadable", key=row.row_id.key, error=error.message)
+            self._observed = self._unknown_holder(row.version)
         if self._held is not None and self._observed.owner != self._owner:
             self._mark_lost("another host acquired it")
 
+    def _unknown_holder(self, row_version: int) -> _LeaseRecord:
+        """Return the record of a holder of whom nothing is known, who may have acted just now.
+
+        No epoch exceeds a version of the store, which grows with each transaction.
+        """
+        return _LeaseRecord(owner="", epoch=row_version, acted_ms=self._store_ms())
+
     async def run(self) -> None:
         """Acquire the lease whenever it is free and renew it, until cancelled."""
         while True:
--- a/src/verbenawind/state/table_follower.py
+++ b/src/verbenawind/state/table_follower.py
@@ -28,7 +28,8 @@
     Args:
         store: The store.
         table: The table to follow.
-        listener: Called with each changed row; its value is None if the row was removed.
+        listener: Called with each changed row; its value is None if the row was removed. If it
+            raises, the row is logged and counted, and the next one is passed on.
         clock: Time source.
         rng: Random source for retry jitter.
         partitioned: Whether the table has named partitions instead of the single unnamed one.
@@ -51,6 +52,7 @@
         "_version",
         "_wait_s",
         "informed",
+        "rows_failed",
     )
 
     def __init__(
@@ -79,6 +81,8 @@
         self._response_listeners: list[Callable[[float], None]] = []
         self._log = structlog.get_logger("feed")
         self.informed = False
+        # Number of rows with which the listener failed.
+        self.rows_failed = 0
 
     def age_s(self) -> float:
         """Return the seconds since the store last responded for this table."""
@@ -155,7 +159,19 @@
             self._row_versions.pop(row.row_id, None)
         else:
             self._row_versions[row.row_id] = row.version
-        self._listener(row)
+        try:
+            self._listener(row)
+        except Exception as error:
+            # A row that cannot be applied must not keep the rows after it from being applied.
+            self.rows_failed += 1
+            self._log.error(
+                "feed_row_not_applied",
+                table=self._table,
+                part=row.row_id.part,
+                key=row.row_id.key,
+                version=row.version,
+                exc_info=error,
+            )
 
     def _response_received(self) -> None:
         silent_s = self.age_s()
