--- a/src/verbenawind/batches/types.py
+++ b/src/verbenawind/batches/types.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from verbenawind.kernel.messages import Value
+from verbenawind.kernel.wire_types import Count, Int64
 
 __all__ = [
     "BatchItem",
@@ -83,14 +84,14 @@
     host: str
     path: str
     model: str
-    step: int
-    min_version: int
-    total: int
-    submitted_ms: int
+    step: Int64
+    min_version: Int64
+    total: Count
+    submitted_ms: Int64
     owner: str
-    epoch: int
+    epoch: Count
     state: JobState = JobState.OPEN
-    submission_rows: int = 0
+    submission_rows: Count = 0
 
     def age_s(self, store_ms: int) -> float:
         """Return the time since submission, given the store's current time *store_ms*."""
--- a/src/verbenawind/gateway/crash_rows.py
+++ b/src/verbenawind/gateway/crash_rows.py
@@ -2,6 +2,7 @@
 
 from verbenawind.gateway.unanswered_sends import UnansweredSend
 from verbenawind.kernel.messages import Value
+from verbenawind.kernel.wire_types import Count, Int64
 
 __all__ = ["UNDECIDED", "Clearance", "CrashReport", "TrialClaim", "TrialTerm"]
 
@@ -18,10 +19,10 @@
 
     incarnation: str
     service: str
-    ended_ms: int
+    ended_ms: Int64
     sends: tuple[UnansweredSend, ...]
     certain: bool = True
-    alive_ms: int = -1
+    alive_ms: Int64 = -1
 
 
 class Clearance(Value, frozen=True, kw_only=True):
@@ -31,16 +32,16 @@
     trials in a row of a caller's request that servers answered.
     """
 
-    cleared_ms: int
-    passed_ms: int = -1
-    passes: int = 0
+    cleared_ms: Int64
+    passed_ms: Int64 = -1
+    passes: Count = 0
 
 
 class TrialTerm(Value, frozen=True, kw_only=True):
     """Number of trials of some callers, and until when these are refused after the latest."""
 
-    trials: int
-    until_ms: int
+    trials: Count
+    until_ms: Int64
 
 
 class TrialClaim(Value, frozen=True, kw_only=True):
@@ -54,7 +55,7 @@
     """
 
     claim_id: str
-    claimed_ms: int
+    claimed_ms: Int64
     terms: dict[str, TrialTerm]
 
     def term(self, caller: str) -> TrialTerm:
--- a/src/verbenawind/gateway/server_limits.py
+++ b/src/verbenawind/gateway/server_limits.py
@@ -14,6 +14,7 @@
 from verbenawind.clock import Clock
 from verbenawind.gateway.types import Instance
 from verbenawind.kernel.messages import Value
+from verbenawind.kernel.wire_types import Int64
 
 __all__ = ["LimitSource", "NamedLimit", "Permit", "ServerLimits", "instance_incarnation"]
 
@@ -59,7 +60,7 @@
     server: str
     service: str
     rate_per_s: float | None
-    stated_ms: int
+    stated_ms: Int64
 
 
 class ServerLimits:
--- a/src/verbenawind/gateway/unanswered_sends.py
+++ b/src/verbenawind/gateway/unanswered_sends.py
@@ -5,6 +5,7 @@
 
 from verbenawind.gateway.directory import Backend
 from verbenawind.kernel.messages import Value
+from verbenawind.kernel.wire_types import Int64
 
 __all__ = ["EndEvidence", "SendInFlight", "ServerEnd", "UnansweredSend"]
 
@@ -32,8 +33,8 @@
     """
 
     fingerprint: str
-    sent_ms: int
-    broke_ms: int | None = None
+    sent_ms: Int64
+    broke_ms: Int64 | None = None
 
 
 class ServerEnd(Value, frozen=True, kw_only=True):
--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -19,6 +19,15 @@
 )
 from verbenawind.kernel.decoding import convert_value, decode_json
 from verbenawind.kernel.messages import Location
+from verbenawind.kernel.wire_types import (
+    Count,
+    DurationMs,
+    DurationS,
+    Identifier,
+    Int64,
+    PositiveCount,
+    is_socket_address,
+)
 from verbenawind.node import NamedVersion
 from verbenawind.platform.names import OPERATOR_TABLE, SERVERS_TABLE
 
@@ -51,17 +60,17 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 0
-    target_latency_ms: float = 0
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: DurationMs = 0
+    target_latency_ms: DurationMs = 0
+    max_attempts: Int64 = 1
+    priority: Int64 = 0
     service: str = ""
     weighted_services: list[_Share] = []
     resumable: bool = False
     single_version: bool = False
     # Both count from the first submission of a batch job.
-    result_deadline_ms: float = 0
-    retention_s: float = 0
+    result_deadline_ms: DurationMs = 0
+    retention_s: DurationS = 0
 
 
 class _EngineModel(_Wire, frozen=True, kw_only=True):
@@ -70,27 +79,27 @@
 
 class _Engine(_Wire, frozen=True, kw_only=True):
     # The number of concurrent requests, not of connections.
-    slots: int
+    slots: Int64
     models: list[_EngineModel] = []
 
 
 class _Service(_Wire, frozen=True, kw_only=True):
     name: str
-    max_connections: int = 0
+    max_connections: Int64 = 0
     engine: _Engine | None = None
 
 
 class _Limits(_Wire, frozen=True, kw_only=True):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 32 * 1024 * 1024
+    max_header_bytes: Count = 16 * 1024
+    max_body_bytes: Count = 32 * 1024 * 1024
     # The time limit for receiving a request's head.
-    header_timeout_ms: float = 3000
+    header_timeout_ms: DurationMs = 3000
     # How long a connection may be idle between requests.
-    idle_timeout_ms: float = 15000
+    idle_timeout_ms: DurationMs = 15000
 
 
 class _Configuration(_Wire, frozen=True, kw_only=True):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -100,23 +109,23 @@
     name: str
     # The version of the weights; the field of this name in the server's own record is the version
     # of its software and is not read.
-    version: int
+    version: Count
 
 
 class _Server(_Wire, frozen=True, kw_only=True):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: PositiveCount
     state: Literal["ready", "draining"]
     # Start time of the server's current incarnation, in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
     models: list[_LoadedModel] = []
 
 
 class _NamedVersion(_Wire, frozen=True, kw_only=True):
     model: str
-    version: int
+    version: Count
 
 
 class PlatformRegistry:
@@ -187,12 +196,9 @@
     except RecursionError as error:
         raise Undecodable(f"not a valid Server: {error}") from error
     wire = convert_value(raw, _Server)
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit() or not wire.service or wire.slots < 1:
-        raise Undecodable(
-            f"not a valid Server: service {wire.service!r}, address {wire.address!r}, "
-            f"slots {wire.slots}"
-        )
+    convert_value(instance_id, Identifier)
+    if not wire.service or not is_socket_address(wire.address):
+        raise Undecodable(f"not a valid Server: service {wire.service!r}, address {wire.address!r}")
     return Instance(
         instance_id=instance_id,
         service=wire.service,
--- a/src/verbenawind/state/heartbeats.py
+++ b/src/verbenawind/state/heartbeats.py
@@ -15,6 +15,7 @@
 from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Location, Value
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement_transaction
+from verbenawind.kernel.wire_types import Count, DurationS, Int64
 
 __all__ = ["HOSTS_TABLE", "HostHeartbeat", "HostHeartbeats", "host_of"]
 
@@ -60,10 +61,10 @@
     incarnation: str
     address: str
     location: Location
-    number: int
+    number: Int64
     leaving: bool = False
-    written_ms: int = 0
-    period_s: float = _IDLE_PERIOD_S
+    written_ms: Count = 0
+    period_s: DurationS = _IDLE_PERIOD_S
 
     @property
     def owner_id(self) -> str:
@@ -71,6 +72,13 @@
         return f"{self.host}#{self.incarnation}"
 
 
+def _decode_heartbeat(host: str, value: bytes) -> HostHeartbeat:
+    heartbeat = decode_json(value, HostHeartbeat)
+    if heartbeat.host != host:
+        raise Undecodable(f"the row is that of host {heartbeat.host!r}")
+    return heartbeat
+
+
 class _ReceivedHeartbeat:
     """The latest heartbeat of a daemon.
 
@@ -159,7 +167,7 @@
             self._received.pop(host, None)
             return
         try:
-            heartbeat = decode_json(row.value, HostHeartbeat)
+            heartbeat = _decode_heartbeat(host, row.value)
         except Undecodable as error:
             self._log.warning("beat_unreadable", peer=host, error=error.message)
             return
--- a/src/verbenawind/state/row_lease.py
+++ b/src/verbenawind/state/row_lease.py
@@ -17,6 +17,7 @@
 from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowId, RowStore, StoredRow, replacement_transaction
+from verbenawind.kernel.wire_types import Count, Int64
 from verbenawind.state.heartbeats import host_of
 
 __all__ = ["RowLease"]
@@ -43,10 +44,10 @@
     """
 
     owner: str
-    epoch: int
-    beat: int = 0
+    epoch: Count
+    beat: Count = 0
     released: bool = False
-    acted_ms: int = 0
+    acted_ms: Int64 = 0
 
 
 class RowLease:
--- a/tests/on_platform/test_foreign_rows.py
+++ b/tests/on_platform/test_foreign_rows.py
@@ -76,3 +76,57 @@
             assert not harness.daemons[0].node.unusable_servers
 
         run_with_harness(work)
+
+
+class TestUnusableEntries:
+    @pytest.mark.parametrize(
+        ("key", "change"),
+        [
+            ("i-foreign", {"address": "127.0.0.1:70000"}),
+            ("i-foreign", {"address": "127.0.0.1:0"}),
+            ("i-foreign", {"address": "127.0.0.1:\u00b2"}),
+            ("i-foreign", {"address": "no host:80"}),
+            ("i-foreign", {"slots": 10**30}),
+            ("i-foreign", {"born": 10**30}),
+            ("i-é", {}),
+            ("i-日本", {}),
+            ("i\r\nX: y", {}),
+        ],
+        ids=str,
+    )
+    def test_entry_that_no_request_can_use_names_no_server(
+        self, key: str, change: dict[str, object]
+    ) -> None:
+        """A field that passes the decoder must not fail each request that considers the server.
+
+        Its address, or the key that travels in a header, fails in the client; before, every
+        request of the service got 500, with sound servers beside it.
+        """
+
+        async def work(harness: PlatformHarness) -> None:
+            entry = {
+                "service": "plain",
+                "address": harness.plain[0].address,
+                "zone": "a",
+                "slots": 1000,
+                "state": "ready",
+                "born": 1,
+            }
+            with capture_log_lines() as lines:
+                harness.store.put("servers", key, entry | change)
+                await harness.until(
+                    lambda: any(
+                        line["event"] in ("server_entry_unusable", "server_registered")
+                        and line["server"] == key
+                        for line in lines
+                    )
+                )
+            statuses = [
+                (await harness.call("POST", "/plain/x", b"b", request_id=f"r{index}")).status
+                for index in range(8)
+            ]
+            assert statuses == [200] * 8
+            backends = harness.daemons[0].node.directory.backends("plain")
+            assert {backend.instance.instance_id for backend in backends} == {"p0", "p1"}
+
+        run_with_harness(work)
