--- a/src/verbenawind/batches/item_run.py
+++ b/src/verbenawind/batches/item_run.py
@@ -9,7 +9,12 @@
 from verbenawind.batches.paces import EnginePaces, RunPace
 from verbenawind.batches.types import BatchItem
 from verbenawind.clock import Clock
-from verbenawind.errors import BackendServerFailed, BackendServerUnreachable, LimitReached
+from verbenawind.errors import (
+    BackendServerFailed,
+    BackendServerUnreachable,
+    LimitReached,
+    RequestUnsendable,
+)
 from verbenawind.gateway import (
     Attempt,
     Backend,
@@ -192,6 +197,8 @@
         return await _read_events(response, partial, backend, limits, clock, paces, should_move)
     except TimeoutError:
         return RunOutcome(end=RunEnd.STALLED, detail=f"no response within {limits.first_event_s} s")
+    except RequestUnsendable as error:
+        return RunOutcome(end=RunEnd.IMPOSSIBLE, detail=error.message)
     except LimitReached as error:
         return RunOutcome(end=RunEnd.LIMITED, detail=error.message)
     except BackendServerUnreachable as error:
--- a/src/verbenawind/errors.py
+++ b/src/verbenawind/errors.py
@@ -32,6 +32,7 @@
     "RateLimited",
     "RequestConvicted",
     "RequestTooSlow",
+    "RequestUnsendable",
     "RevisionConflict",
     "RowConflict",
     "SettingsInvalid",
@@ -152,6 +153,12 @@
     code = "undecodable"
 
 
+class RequestUnsendable(InvalidRequest):
+    """Raised by an adapter for a request that is not valid HTTP; nothing was sent."""
+
+    code = "request_unsendable"
+
+
 class RequestTooSlow(InvalidRequest):
     """Raised when a request's body did not arrive in time."""
 
--- a/src/verbenawind/gateway/forwarding.py
+++ b/src/verbenawind/gateway/forwarding.py
@@ -11,6 +11,7 @@
     BackendServerFailed,
     BackendServerUnreachable,
     LimitReached,
+    RequestUnsendable,
     VerbenawindError,
 )
 from verbenawind.gateway.allowances import Allowances
@@ -221,6 +222,9 @@
             sends.discard(task)
             try:
                 reply = task.result()
+            except RequestUnsendable:
+                # No other server could be sent it either.
+                raise
             except VerbenawindError:
                 # The send has recorded the error in the history.
                 continue
@@ -369,7 +373,7 @@
             check_response(response, backend.instance.instance_id)
             reply = await _read_buffered(response)
             response = reply.rest
-        except LimitReached as error:
+        except (LimitReached, RequestUnsendable) as error:
             exchange.history.refused()
             guarded.not_run(in_flight)
             self._log_failure(exchange, backend, error)
--- a/src/verbenawind/gateway/streaming.py
+++ b/src/verbenawind/gateway/streaming.py
@@ -11,6 +11,7 @@
     BackendServerFailed,
     BackendServerUnreachable,
     LimitReached,
+    RequestUnsendable,
 )
 from verbenawind.gateway.allowances import Allowances
 from verbenawind.gateway.balance import choose
@@ -70,6 +71,7 @@
         """Yield the first server's response head, then the bytes of each complete event.
 
         Raises:
+            RequestUnsendable: The request is not valid HTTP; nothing was sent.
             RequestConvicted: Servers ended under such requests, which are refused for a time.
             VerbenawindError: The stream did not start, or broke and cannot be resumed.
         """
@@ -164,6 +166,9 @@
                 guarded.answered(in_flight, response.status)
                 backend.succeeded(0.0)
                 return
+            except RequestUnsendable:
+                guarded.not_run(in_flight)
+                raise
             except LimitReached:
                 history.refused()
                 guarded.not_run(in_flight)
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -417,6 +417,7 @@
     "feed_unavailable": _event(
         "A feed does not respond; logged once per interruption.", "table error age_s"
     ),
+    "report_missing": _event("An engine gave no report that can be read.", "server error"),
     "feed_row_not_applied": _event(
         "A row of a feed could not be applied and is skipped.", "table part key version exc_info"
     ),
--- a/src/verbenawind/platform/backends.py
+++ b/src/verbenawind/platform/backends.py
@@ -5,11 +5,20 @@
 from collections.abc import Sequence
 
 import msgspec
+import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.errors import (
+    BackendServerFailed,
+    BackendServerUnreachable,
+    RequestUnsendable,
+    Undecodable,
+)
 from verbenawind.gateway import Attempt, Instance
 from verbenawind.gateway.events import EventReader, StreamEvent
+from verbenawind.kernel.decoding import decode_json
+from verbenawind.kernel.http_syntax import parse_decimal
+from verbenawind.kernel.wire_types import Count
 from verbenawind.platform.names import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
@@ -100,8 +109,7 @@
     @property
     def version(self) -> int | None:
         """The weight version at the start of the response, None if it is not given."""
-        value = self._response.header(VERSION_HEADER)
-        return int(value) if value is not None and value.isdigit() else None
+        return parse_decimal(self._response.header(VERSION_HEADER) or "")
 
     async def chunk(self) -> bytes:
         """Return the next chunk of the body, empty at its end."""
@@ -129,7 +137,7 @@
 
 class _WireModel(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _WireReport(msgspec.Struct, rename="kebab"):
@@ -140,9 +148,9 @@
 
     models: list[_WireModel] = []
     busy: bool = False
-    seq: int = 0
-    num_running: int = 0
-    num_waiting: int = 0
+    seq: Count = 0
+    num_running: Count = 0
+    num_waiting: Count = 0
 
 
 class HttpBackends:
@@ -154,12 +162,13 @@
         holder: Name of this host as the lease holder in load orders.
     """
 
-    __slots__ = ("_client", "_clock", "_holder")
+    __slots__ = ("_client", "_clock", "_holder", "_log")
 
     def __init__(self, client: Http1Client, clock: Clock, holder: str) -> None:
         self._client = client
         self._clock = clock
         self._holder = holder
+        self._log = structlog.get_logger("backends")
 
     async def send(self, instance: Instance, attempt: Attempt) -> HttpAnswer:
         """Send a request and return the response once its head has arrived."""
@@ -229,7 +238,7 @@
                 response = await self._client.send(instance.address, request)
                 await response.head()
                 await response.body()
-        except BackendServerUnreachable as error:
+        except (BackendServerUnreachable, RequestUnsendable) as error:
             return OrderReply(answer=OrderAnswer.UNREACHABLE, detail=error.message)
         except (BackendServerFailed, TimeoutError) as error:
             if response is not None:
@@ -254,15 +263,17 @@
             async with asyncio.timeout(timeout_s):
                 response = await self._client.send(instance.address, request)
                 await response.head()
-                wire = msgspec.json.decode(await response.body(), type=_WireReport)
+                wire = decode_json(await response.body(), _WireReport)
         except (
             BackendServerUnreachable,
             BackendServerFailed,
+            RequestUnsendable,
             TimeoutError,
-            msgspec.MsgspecError,
-        ):
+            Undecodable,
+        ) as error:
             if response is not None:
                 response.close()
+            self._log.info("report_missing", server=instance.instance_id, error=repr(error))
             return None
         return EngineReport(
             versions={model.name: model.version for model in wire.models},
--- a/src/verbenawind/platform/batches.py
+++ b/src/verbenawind/platform/batches.py
@@ -1,7 +1,6 @@
 """Decodes batch job submissions and encodes pages of results in the platform's JSON format."""
 
 import base64
-import binascii
 
 import msgspec
 
@@ -12,7 +11,17 @@
     ResultsPage,
     ScoringCall,
 )
-from verbenawind.errors import InvalidRequest
+from verbenawind.errors import InvalidRequest, Undecodable
+from verbenawind.kernel.decoding import convert_value, decode_json
+from verbenawind.kernel.http_syntax import (
+    is_field_name,
+    is_field_value,
+    is_request_target,
+    is_visible_ascii,
+    parse_decimal,
+)
+from verbenawind.kernel.wire_types import Count, Identifier
+from verbenawind.platform.exchange import end_to_end_headers
 
 __all__ = ["decode_submission", "encode_page"]
 
@@ -22,7 +31,7 @@
 class _WireScorer(msgspec.Struct):
     """The request that scores an item's complete text; ``body`` is base64."""
 
-    id: str
+    id: Identifier
     host: str
     path: str
     body: str = ""
@@ -31,11 +40,11 @@
 class _WireItem(msgspec.Struct, rename="kebab"):
     """An item; ``tokens`` is the sum of its prompt tokens and its limit of generated tokens."""
 
-    id: str
+    id: Identifier
     path: str
     body: str = ""
     headers: dict[str, str] = {}
-    tokens: int = 0
+    tokens: Count = 0
     group: str = ""
     scorer: _WireScorer | None = None
 
@@ -44,10 +53,10 @@
     """A job; ``desired_count`` is a number of groups, not of items."""
 
     items: list[_WireItem]
-    step: int = 0
+    step: Count = 0
     model: str = ""
-    min_version: int = 0
-    desired_count: int = 0
+    min_version: Count = 0
+    desired_count: Count = 0
 
 
 def decode_submission(job_id: str, host: str, path: str, body: bytes) -> BatchSubmission:
@@ -57,10 +66,11 @@
         InvalidRequest: The body is not a valid submission.
     """
     try:
-        wire = msgspec.json.decode(body, type=_WireJob)
-        items = tuple(_item(item) for item in wire.items)
-    except (msgspec.MsgspecError, binascii.Error) as error:
-        raise InvalidRequest(f"job {job_id}: {error}") from error
+        convert_value(job_id, Identifier)
+        wire = decode_json(body, _WireJob)
+        items = tuple(_item(item, f"items[{index}]") for index, item in enumerate(wire.items))
+    except Undecodable as error:
+        raise InvalidRequest(f"job {job_id!r}: {error.message}") from error
     if len({item.item_id for item in items}) < len(items):
         raise InvalidRequest(f"job {job_id}: item ids are not unique")
     return BatchSubmission(
@@ -98,26 +108,54 @@
     return encoded
 
 
-def _item(wire: _WireItem) -> BatchItem:
-    hint = next(
-        (value for name, value in wire.headers.items() if name.lower() == _LENGTH_HINT_HEADER), ""
-    )
+def _item(wire: _WireItem, where: str) -> BatchItem:
+    """Check an item, which is *where* in the submission.
+
+    Headers that concern one connection alone are dropped, since the requests to engines have their
+    own.
+
+    Raises:
+        Undecodable: A part of it cannot be sent in a request; the message names the field.
+    """
+    _check_target(wire.path, where)
+    headers = end_to_end_headers((name, value.strip(" \t")) for name, value in wire.headers.items())
+    for name, value in headers:
+        if not is_field_name(name):
+            raise Undecodable(f"{where}.headers: {name!r} is not the name of a header")
+        if not is_field_value(value):
+            raise Undecodable(f"{where}.headers.{name}: {value!r} is not the value of a header")
+    hint = next((value for name, value in headers if name.lower() == _LENGTH_HINT_HEADER), None)
+    length_hint = 0 if hint is None else parse_decimal(hint)
+    if length_hint is None:
+        raise Undecodable(f"{where}.headers.{_LENGTH_HINT_HEADER}: {hint!r} is not a number")
     return BatchItem(
         item_id=wire.id,
         path=wire.path,
-        headers=tuple(wire.headers.items()),
-        body=base64.b64decode(wire.body, validate=True),
+        headers=headers,
+        body=_body(wire.body, where),
         tokens=wire.tokens,
         group=wire.group,
-        length_hint=int(hint) if hint.isdigit() else 0,
-        scoring=_scoring_call(wire.scorer) if wire.scorer is not None else None,
+        length_hint=length_hint,
+        scoring=_scoring_call(wire.scorer, f"{where}.scorer") if wire.scorer is not None else None,
     )
 
 
-def _scoring_call(wire: _WireScorer) -> ScoringCall:
+def _scoring_call(wire: _WireScorer, where: str) -> ScoringCall:
+    _check_target(wire.path, where)
+    if not is_visible_ascii(wire.host):
+        raise Undecodable(f"{where}.host: {wire.host!r} is not the name of a host")
     return ScoringCall(
-        call_id=wire.id,
-        host=wire.host,
-        path=wire.path,
-        body=base64.b64decode(wire.body, validate=True),
+        call_id=wire.id, host=wire.host, path=wire.path, body=_body(wire.body, where)
     )
+
+
+def _check_target(path: str, where: str) -> None:
+    if not is_request_target(path):
+        raise Undecodable(f"{where}.path: {path!r} is not the path of a request")
+
+
+def _body(encoded: str, where: str) -> bytes:
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except ValueError as error:
+        raise Undecodable(f"{where}.body: {error}") from error
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -14,6 +14,7 @@
     BackendServerFailed,
     BackendServerUnreachable,
     HistoryLost,
+    RequestUnsendable,
     RowConflict,
     StoreUnavailable,
     Undecodable,
@@ -257,6 +258,9 @@
             self._count(kind, "lost")
             reason = getattr(error, "message", "no response in time")
             raise StoreUnavailable(f"{kind}: {reason}", effect_possible=sent) from error
+        except RequestUnsendable as error:
+            self._count(kind, "unsendable")
+            raise StoreUnavailable(f"{kind}: {error.message}", effect_possible=False) from error
         except asyncio.CancelledError:
             if response is not None:
                 response.close()
--- a/src/verbenawind/plugins/http1_client.py
+++ b/src/verbenawind/plugins/http1_client.py
@@ -14,13 +14,23 @@
 import msgspec
 
 from verbenawind.clock import Clock
-from verbenawind.errors import BackendServerFailed, BackendServerUnreachable
+from verbenawind.errors import BackendServerFailed, BackendServerUnreachable, RequestUnsendable
+from verbenawind.kernel.http_syntax import (
+    is_field_name,
+    is_field_value,
+    is_request_target,
+    parse_decimal,
+)
 from verbenawind.plugins.http1_sizes import MessageSizes, ResponseTooLong
 
 __all__ = ["Header", "Http1Client", "Http1Request", "Http1Response"]
 
 Header = tuple[str, str]
 
+# The statuses of final responses; no other can be sent on to a caller.
+_MIN_STATUS, _MAX_STATUS = 200, 599
+# Headers that tell where a message ends; only the client itself sets them.
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 # Reading from the socket pauses while more than this many received bytes are unread.
 _MAX_BUFFERED_BYTES = 256 * 1024
 # Idle timeout of a connection whose server sends no keep-alive timeout.
@@ -48,13 +58,29 @@
     echo: Header | None = None
 
     def encode(self) -> bytes:
-        """Return the request in wire format."""
+        """Return the request in wire format.
+
+        Raises:
+            RequestUnsendable: A part would not arrive as it is, or as part of another request.
+        """
+        self._check()
         lines = [f"{self.method} {self.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in self.headers]
         if self.body or self.method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(self.body)}")
         return "\r\n".join([*lines, "\r\n"]).encode("latin-1") + self.body
 
+    def _check(self) -> None:
+        if not is_field_name(self.method):
+            raise RequestUnsendable(f"{self.method!r} is not a method")
+        if not is_request_target(self.target):
+            raise RequestUnsendable(f"{self.target!r} is not the path of a request")
+        for name, value in self.headers:
+            if not is_field_name(name) or name.lower() in _FRAMING_HEADERS:
+                raise RequestUnsendable(f"{name!r} is not the name of a header to send")
+            if not is_field_value(value):
+                raise RequestUnsendable(f"{value!r} is not a value for the header {name}")
+
 
 class _Connection(asyncio.Protocol):
     """A connection that handles one request at a time."""
@@ -137,6 +163,9 @@
         if self._skip_message:
             self._sizes.skip_message()
             return
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            self._fail(f"invalid HTTP response: status {status}")
+            return
         names = {name.lower() for name, _ in self._headers}
         self._framed = bool(names & {"content-length", "transfer-encoding"}) or status in (204, 304)
         response.begin(status, self._headers)
@@ -160,13 +189,19 @@
 
     # Called by the client and the response.
 
-    def send(self, request: Http1Request, response: "Http1Response") -> None:
-        """Send a request and direct the parsed response to *response*."""
+    def send(self, encoded: bytes, echo: Header | None, response: "Http1Response") -> None:
+        """Send a request and direct the parsed response to *response*.
+
+        Args:
+            encoded: The request in wire format.
+            echo: The header that its response repeats.
+            response: Where the response goes.
+        """
         assert self._transport is not None
-        self._response, self._echo = response, request.echo
+        self._response, self._echo = response, echo
         self._sizes.begin_request()
         self.used = True
-        self._transport.write(request.encode())
+        self._transport.write(encoded)
 
     def resume_reading(self) -> None:
         """Resume reading from the socket after the buffered data has been read."""
@@ -213,8 +248,9 @@
             if name.lower() == "keep-alive":
                 for part in value.split(","):
                     key, _, number = part.strip().partition("=")
-                    if key == "timeout" and number.isdigit():
-                        return float(number)
+                    timeout_s = parse_decimal(number)
+                    if key == "timeout" and timeout_s is not None:
+                        return float(timeout_s)
         return _DEFAULT_IDLE_TIMEOUT_S
 
     def _fail(self, reason: str) -> None:
@@ -368,12 +404,14 @@
 
         Raises:
             BackendServerUnreachable: No connection could be opened; nothing was sent.
+            RequestUnsendable: A part of the request is not valid HTTP; nothing was sent.
         """
+        encoded = request.encode()
         connection = None if fresh else self._take_idle(address)
         if connection is None:
             connection = await self._connect(address)
         response = Http1Response(self, connection, address)
-        connection.send(request, response)
+        connection.send(encoded, request.echo, response)
         return response
 
     def release(self, address: str, connection: _Connection) -> None:
@@ -408,7 +446,7 @@
                 _, connection = await loop.create_connection(
                     lambda: _Connection(self._clock), host, int(port)
                 )
-        except (OSError, ValueError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError, TimeoutError) as error:
             raise BackendServerUnreachable(
                 f"cannot connect to server {address}: {error!r}"
             ) from error
--- a/src/verbenawind/plugins/peer_websocket.py
+++ b/src/verbenawind/plugins/peer_websocket.py
@@ -87,7 +87,7 @@
                 compression=None,
                 proxy=None,
             )
-        except (OSError, TimeoutError, WebSocketException) as error:
+        except (OSError, ValueError, OverflowError, TimeoutError, WebSocketException) as error:
             raise PeerUnreachable(f"cannot connect to peer {address}: {error!r}") from error
         return _Channel(socket)
 
--- a/src/verbenawind/plugins/tcp_probe.py
+++ b/src/verbenawind/plugins/tcp_probe.py
@@ -31,7 +31,7 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
             return ProbeResult.REFUSED
-        except (OSError, TimeoutError):
+        except (OSError, OverflowError, ValueError, TimeoutError):
             # The host may be down, partitioned, frozen or overloaded; the caller logs that.
             return ProbeResult.NONE
         try:
