--- a/src/verbenawind/gateway/events.py
+++ b/src/verbenawind/gateway/events.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from verbenawind.errors import BackendServerFailed
+from verbenawind.kernel.http_syntax import parse_decimal
 from verbenawind.kernel.messages import Value
 
 __all__ = ["EventReader", "StreamEvent"]
@@ -12,6 +13,7 @@
 
 
 _END = b"\n\n"
+_MAX_QUOTED_LENGTH = 40
 
 
 class StreamEvent(Value, frozen=True, kw_only=True):
@@ -83,11 +85,11 @@
                 name, _, value = line.partition(":")
                 value = value.removeprefix(" ")
                 if name == "id":
-                    event_id = int(value)
+                    event_id = _number(value)
                 elif name == "data":
                     data.append(value)
                 elif name == self._version_field:
-                    version = int(value)
+                    version = _number(value)
         except ValueError as error:
             raise BackendServerFailed(f"malformed event in the stream: {error}") from error
         if event_id is None:
@@ -95,3 +97,10 @@
         return StreamEvent(
             event_id=event_id, data="\n".join(data), version=version, raw=block + b"\n\n"
         )
+
+
+def _number(text: str) -> int:
+    number = parse_decimal(text)
+    if number is None:
+        raise ValueError(f"{text[:_MAX_QUOTED_LENGTH]!r} is not a number")
+    return number
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -34,6 +34,7 @@
     StreamForwarder,
     service_of,
 )
+from verbenawind.kernel.http_syntax import parse_decimal
 from verbenawind.metrics import Metrics
 from verbenawind.platform.batches import decode_submission, encode_page
 from verbenawind.platform.exchange import Exchange, Receive, Scope, Send, end_to_end_headers
@@ -192,7 +193,7 @@
             body=await exchange.read_body(self.limits.max_body_bytes),
             arrived_s=exchange.arrived_s,
             deadline_s=exchange.arrived_s + min(limit_s, _MAX_REQUEST_S),
-            resume_after=int(last_event) if last_event and last_event.isdigit() else None,
+            resume_after=parse_decimal(last_event) if last_event else None,
             # Requests bear no name of their caller, who keeps the address over all connections.
             caller=exchange.caller_ip,
         )
@@ -283,9 +284,9 @@
             await exchange.respond(200)
             return
         after_text = query.get("after", ["0"])[0]
-        if not after_text.isdigit():
+        after = parse_decimal(after_text)
+        if after is None:
             raise InvalidRequest(f"the position must be a non-negative integer, not {after_text!r}")
-        after = int(after_text)
         wait_s = min((exchange.float_header(WAIT_HEADER) or 0.0) / 1000, _MAX_READ_WAIT_S)
         page = await self._jobs.results(job_id, after, wait_s)
         self._log.info(
--- a/src/verbenawind/platform/settings.py
+++ b/src/verbenawind/platform/settings.py
@@ -10,6 +10,7 @@
 from verbenawind.document.loading import conversion_faults
 from verbenawind.errors import SettingsInvalid
 from verbenawind.kernel.messages import Location, Value
+from verbenawind.kernel.wire_types import DurationMs, DurationS, PositiveCount, is_socket_address
 
 __all__ = ["HostSettings", "load_host_settings", "parse_host_settings"]
 
@@ -30,19 +31,19 @@
 
 class _Platform(_Section, frozen=True, kw_only=True):
     address: str
-    row_bytes: int = 65536
-    blob_bytes: int = 8 * 1024 * 1024
+    row_bytes: PositiveCount = 65536
+    blob_bytes: PositiveCount = 8 * 1024 * 1024
 
 
 class _Bounds(_Section, frozen=True, kw_only=True):
     # After an order, how long no other lease holder may give orders to the same engine.
-    lease_ms: float = 3000
+    lease_ms: DurationMs = 3000
     # How long a process has between SIGTERM and SIGKILL.
-    grace_s: float = 8
+    grace_s: DurationS = 8
     # How long an engine keeps serving after it has announced that it is leaving.
-    drain_ms: float = 2500
+    drain_ms: DurationMs = 2500
     # How long after its submission a batch job can be read.
-    status_s: float = 120
+    status_s: DurationS = 120
     # Whether engines check the fencing number of an order.
     fencing_required: bool = False
 
@@ -98,6 +99,8 @@
         text = Path(name).read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsInvalid(f"settings file {name!r}: {error.strerror}") from error
+    except UnicodeError as error:
+        raise SettingsInvalid(f"settings file {name!r}: {error}") from error
     return parse_host_settings(text)
 
 
@@ -109,12 +112,25 @@
     """
     try:
         raw: dict[str, Any] = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise SettingsInvalid(f"settings: {error}") from error
     if faults := list(conversion_faults(raw, _File, "$", unknown_allowed=True)):
         raise SettingsInvalid("; ".join(faults))
     file = msgspec.convert(raw, _File)
     first, last = file.internal_ports
+    addresses = {
+        "$.listen.front": file.listen.front,
+        "$.listen.ready": file.listen.ready,
+        "$.platform.address": file.platform.address,
+        "$.internal-ports[0]": f"{file.ip}:{first}",
+        "$.internal-ports[1]": f"{file.ip}:{last}",
+    }
+    if faults := [
+        f"{path}: {address!r} is not an IPv4 address and port"
+        for path, address in addresses.items()
+        if not is_socket_address(address)
+    ]:
+        raise SettingsInvalid("; ".join(faults))
     if last <= first:
         raise SettingsInvalid(
             f"$.internal-ports: at least two ports are needed, one for peers and one for "
--- a/src/verbenawind/state/relay.py
+++ b/src/verbenawind/state/relay.py
@@ -4,22 +4,39 @@
 import itertools
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
+from typing import TypeVar
 
 import cbor2
 import msgspec
 import structlog
 
 from verbenawind.clock import Clock
-from verbenawind.errors import PeerUnreachable, StoreUnavailable
+from verbenawind.errors import PeerUnreachable, StoreUnavailable, Undecodable
+from verbenawind.kernel.decoding import convert_value
 from verbenawind.kernel.peer_ports import PeerChannel, PeerTransport
 
-__all__ = ["RelayClient", "RelayServer", "StoreCall", "StoreReply"]
+__all__ = [
+    "RelayClient",
+    "RelayRequest",
+    "RelayResponse",
+    "RelayServer",
+    "StoreCall",
+    "StoreReply",
+    "decode_call",
+    "decode_reply",
+]
 
 _CONNECT_TIMEOUT_S = 0.5
 # For this long after a failed call a peer is used only if no other is available.
 _PEER_COOLDOWN_S = 1.5
 _REPLY_MARGIN_S = 0.1
 _MAX_CONCURRENT_CALLS = 64
+_STORE_METHODS = frozenset({"GET", "PUT", "POST", "DELETE"})
+_STORE_PATH_PREFIX = "/api/"
+# A call waits at the store for at most half a minute.
+_MAX_TIMEOUT_S = 60.0
+
+T = TypeVar("T")
 
 
 class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,12 +59,14 @@
     body: bytes
 
 
-class _Request(msgspec.Struct, array_like=True):
+class RelayRequest(msgspec.Struct, array_like=True):
+    """A peer's call."""
+
     number: int
     call: StoreCall
 
 
-class _Response(msgspec.Struct, array_like=True):
+class RelayResponse(msgspec.Struct, array_like=True):
     """The peer's response.
 
     Without a reply the peer got none either, and ``effect_possible`` tells whether the call may
@@ -80,22 +99,22 @@
             async with asyncio.TaskGroup() as tasks:
                 while True:
                     data = await channel.receive()
-                    request = msgspec.convert(cbor2.loads(data), _Request, strict=False)
+                    request = decode_call(data)
                     await slots.acquire()
                     tasks.create_task(self._handle(channel, request, slots))
         except* PeerUnreachable as group:
             self._log.debug("relay_channel_closed", reason=str(group.exceptions[0]))
-        except* (cbor2.CBORDecodeError, msgspec.ValidationError) as group:
+        except* Undecodable as group:
             self._log.warning("relay_request_malformed", reason=str(group.exceptions[0]))
 
     async def _handle(
-        self, channel: PeerChannel, request: _Request, slots: asyncio.Semaphore
+        self, channel: PeerChannel, request: RelayRequest, slots: asyncio.Semaphore
     ) -> None:
         try:
             self.relayed += 1
-            response = _Response(request.number, await self._call_store(request.call))
+            response = RelayResponse(request.number, await self._call_store(request.call))
         except StoreUnavailable as error:
-            response = _Response(request.number, None, error.effect_possible)
+            response = RelayResponse(request.number, None, error.effect_possible)
         finally:
             slots.release()
         await channel.send(_encode(response))
@@ -106,7 +125,7 @@
 
     def __init__(self, channel: PeerChannel) -> None:
         self.channel = channel
-        self.pending: dict[int, asyncio.Future[_Response]] = {}
+        self.pending: dict[int, asyncio.Future[RelayResponse]] = {}
         self.open = True
         self.reader = asyncio.get_running_loop().create_task(self._read())
 
@@ -114,11 +133,11 @@
         try:
             while True:
                 data = await self.channel.receive()
-                response = msgspec.convert(cbor2.loads(data), _Response, strict=False)
+                response = decode_reply(data)
                 future = self.pending.get(response.number)
                 if future is not None and not future.done():
                     future.set_result(response)
-        except (PeerUnreachable, cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        except (PeerUnreachable, Undecodable) as error:
             self._close(PeerUnreachable(f"relay link: {error}"))
 
     def _close(self, error: PeerUnreachable) -> None:
@@ -187,12 +206,12 @@
         try:
             link = await self._link(address)
             number = next(self._numbers)
-            future: asyncio.Future[_Response] = asyncio.get_running_loop().create_future()
+            future: asyncio.Future[RelayResponse] = asyncio.get_running_loop().create_future()
             link.pending[number] = future
             try:
                 async with asyncio.timeout(call.timeout_s + _REPLY_MARGIN_S):
                     sent = True
-                    await link.channel.send(_encode(_Request(number, call)))
+                    await link.channel.send(_encode(RelayRequest(number, call)))
                     response = await future
             finally:
                 del link.pending[number]
@@ -241,5 +260,37 @@
         return link
 
 
-def _encode(message: _Request | _Response) -> bytes:
+def _decode(data: bytes, kind: type[T]) -> T:
+    try:
+        raw = cbor2.loads(data)
+    except (cbor2.CBORError, RecursionError, ValueError, OverflowError) as error:
+        raise Undecodable(f"not CBOR: {error}") from error
+    return convert_value(raw, kind, strict=False)
+
+
+def decode_call(data: bytes) -> RelayRequest:
+    """Decode a peer's request.
+
+    Raises:
+        Undecodable: It is malformed, or not a call to the store.
+    """
+    request = _decode(data, RelayRequest)
+    call = request.call
+    if call.method not in _STORE_METHODS or not call.target.startswith(_STORE_PATH_PREFIX):
+        raise Undecodable(f"{call.method!r} {call.target!r} is not a call to the store")
+    if not 0 < call.timeout_s <= _MAX_TIMEOUT_S:
+        raise Undecodable(f"a call of {call.timeout_s} s is not within {_MAX_TIMEOUT_S} s")
+    return request
+
+
+def decode_reply(data: bytes) -> RelayResponse:
+    """Decode a peer's response.
+
+    Raises:
+        Undecodable: It is malformed.
+    """
+    return _decode(data, RelayResponse)
+
+
+def _encode(message: RelayRequest | RelayResponse) -> bytes:
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
