--- a/src/verbenawind/gateway/__init__.py
+++ b/src/verbenawind/gateway/__init__.py
@@ -5,6 +5,7 @@
 from verbenawind.gateway.crash_history import CrashHistory
 from verbenawind.gateway.crash_records import CRASH_KEY_PREFIX, CrashRecords
 from verbenawind.gateway.directory import Backend, Directory, ServerState
+from verbenawind.gateway.drain import Drain, RequestDurations
 from verbenawind.gateway.forwarding import Forwarder, Reply
 from verbenawind.gateway.guarded_request import GuardedRequest
 from verbenawind.gateway.leaving import StayingBackends
@@ -41,6 +42,7 @@
     "CrashHistory",
     "CrashRecords",
     "Directory",
+    "Drain",
     "EndEvidence",
     "EngineTraits",
     "Forwarder",
@@ -53,6 +55,7 @@
     "NamedLimit",
     "Permit",
     "Reply",
+    "RequestDurations",
     "Route",
     "RouteKind",
     "RouteTable",
--- a/src/verbenawind/log_events.py
+++ b/src/verbenawind/log_events.py
@@ -201,6 +201,7 @@
         _Seconds, Meta(description="Time since this host learnt of the owner.")
     ] = 0.0
     owner: Annotated[str, Meta(description="Host and incarnation of the owner.")] = ""
+    part: Annotated[str, Meta(description="Partition of a row.")] = ""
     path: Annotated[str, Meta(description="Path of the request.")] = ""
     peer: Annotated[str, Meta(description="Name of another host.")] = ""
     peer_id: Annotated[str, Meta(description="Name of another host.")] = ""
@@ -454,6 +455,9 @@
         "A request failed with an error of this daemon; routing by document omits `path`.",
         "request_id job_id path status code outcome error retry_after_s took_s reason",
     ),
+    "request_crashed": _event(
+        "An unexpected error of this daemon; the request may have run.", "request_id path exc_info"
+    ),
     "route_unknown": _event(
         "No route matches the request.", "request_id asked_host path configuration"
     ),
@@ -552,6 +556,7 @@
         "Another host acquired the lease first, or the store failed.", "lease reason"
     ),
     "lease_lost": _event("This host no longer holds a lease.", "epoch lease reason"),
+    "hand_over_failed": _event("A stopping daemon could not release its work.", "exc_info"),
     "lease_row_unreadable": _event("The row of a lease is malformed.", "key error"),
     "lease_not_renewed": _event("A lease renewal failed.", "reason"),
     "lease_not_released": _event("A lease could not be released.", "lease reason"),
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -5,15 +5,15 @@
 import math
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
-from urllib.parse import parse_qs
 
+import msgspec
 import structlog
 
-from verbenawind.batches import BatchJobs
 from verbenawind.clock import Clock
 from verbenawind.errors import (
     CallerDisconnected,
     DeadlineExceeded,
+    Draining,
     HeadersTooLarge,
     InvalidRequest,
     Outcome,
@@ -26,8 +26,10 @@
 from verbenawind.gateway import (
     BackendResponse,
     CallerRequest,
+    Drain,
     Forwarder,
     IngressLimits,
+    RequestDurations,
     Route,
     RouteKind,
     RouteTable,
@@ -36,27 +38,18 @@
 )
 from verbenawind.kernel.http_syntax import parse_decimal
 from verbenawind.metrics import Metrics
-from verbenawind.platform.batches import decode_submission, encode_page
 from verbenawind.platform.exchange import Exchange, Receive, Scope, Send, end_to_end_headers
+from verbenawind.platform.job_calls import ITEMS_PATH, JOBS_PATH, JobCalls, job_id_of_path
 from verbenawind.platform.names import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     LAST_EVENT_HEADER,
-    WAIT_HEADER,
 )
 
 __all__ = ["CallerApp"]
 
 T = TypeVar("T")
 
-_JOBS_PATH = "/api/lots/"
-_ITEMS_PATH = "/api/items/"
-_JSON = [("Content-Type", "application/json")]
-# A submission that the store does not accept fails after this fraction of the time that the caller
-# waits, so that the caller can retry at another host, unless it may have been recorded.
-_SUBMIT_FRACTION = 0.4
-_DEFAULT_SUBMIT_S = 5.0
-_MAX_READ_WAIT_S = 1.0
 _DEFAULT_RETRY_S = 0.3
 _NO_CONFIGURATION_RETRY_S = 0.5
 # How long a request may wait after the daemon's start until routes and servers have been read.
@@ -80,7 +73,9 @@
         informed: Returns whether routes and backend servers have been read.
         forwarder: Forwards plain requests.
         streams: Forwards event streams.
-        jobs: Serves batch jobs.
+        job_calls: Serves the calls for batch jobs.
+        drain: Admits requests once the host stops.
+        durations: Records how long the requests of each route take.
         metrics: Records the count and duration of requests.
         clock: Time source.
     """
@@ -92,7 +87,9 @@
         informed: Callable[[], bool],
         forwarder: Forwarder,
         streams: StreamForwarder,
-        jobs: BatchJobs,
+        job_calls: JobCalls,
+        drain: Drain,
+        durations: RequestDurations,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -100,11 +97,14 @@
         self._informed = informed
         self._forwarder = forwarder
         self._streams = streams
-        self._jobs = jobs
+        self._job_calls = job_calls
+        self._drain = drain
+        self._durations = durations
         self._metrics = metrics
         self._clock = clock
         self._log = structlog.get_logger("front")
-        self.draining = False
+        self._in_flight: set[asyncio.Task[Any]] = set()
+        self._ended = False
 
     @property
     def limits(self) -> IngressLimits:
@@ -114,21 +114,66 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        exchange = Exchange(scope, receive, send, self._clock.monotonic_s())
-        exchange.close_connection = self.draining
+        exchange = Exchange(
+            scope,
+            receive,
+            send,
+            self._clock.monotonic_s(),
+            is_closing=lambda: self._drain.active,
+        )
         outcome = "ok"
         try:
-            await self._serve(exchange)
+            await self._serve_until_end(exchange)
         except CallerDisconnected as error:
             outcome = error.code
             self._log.info("caller_left", path=exchange.path, reason=error.message)
         except VerbenawindError as error:
             outcome = error.code
             await self._send_error(exchange, error)
+        except Exception as error:
+            outcome = "internal"
+            self._log.error(
+                "request_crashed",
+                request_id=exchange.header(ATTEMPT_HEADER),
+                path=exchange.path,
+                exc_info=error,
+            )
+            if exchange.started:
+                raise
+            await exchange.respond(500)
         finally:
             took_s = self._clock.monotonic_s() - exchange.arrived_s
             self._metrics.count_request(_operation(exchange), outcome, took_s)
 
+    def end_requests(self) -> None:
+        """End the requests in flight: those without an answer get one, the others are cut off."""
+        self._ended = True
+        for task in self._in_flight:
+            task.cancel()
+
+    async def _serve_until_end(self, exchange: Exchange) -> None:
+        """Serve a request unless the host ends before it is answered.
+
+        Raises:
+            Draining: The host ends; a server may have run the request.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        self._in_flight.add(task)
+        try:
+            await self._serve(exchange)
+        except asyncio.CancelledError:
+            if not self._ended:
+                raise
+            # The task goes on to send the answer.
+            task.uncancel()
+            raise Draining(
+                "this host stopped before the request was answered",
+                outcome=Outcome.MAY_HAVE_RUN,
+            ) from None
+        finally:
+            self._in_flight.discard(task)
+
     async def _serve(self, exchange: Exchange) -> None:
         self._check_head(exchange)
         table = await self._wait_for_routes()
@@ -138,9 +183,9 @@
                 effect_possible=False,
                 retry_after_s=_NO_CONFIGURATION_RETRY_S,
             )
-        job_id = _job_id_of_path(exchange.path)
+        job_id = job_id_of_path(exchange.path)
         if job_id is not None and table.knows_host(exchange.host):
-            await self._serve_job_call(exchange, job_id)
+            await self._job_calls.serve(exchange, job_id)
             return
         route = table.match(exchange.host, exchange.path)
         if route is None:
@@ -154,14 +199,19 @@
             await exchange.respond(404)
             return
         if route.kind is RouteKind.BATCH:
-            await self._submit_job(exchange, route)
+            await self._job_calls.submit(exchange, route, self.limits.max_body_bytes)
             return
         request = await self._read_request(exchange, route)
+        self._drain.check(route, request.deadline_s)
+        request = msgspec.structs.replace(
+            request, deadline_s=self._drain.bound_s(request.deadline_s)
+        )
         service = service_of(route, request.request_id)
-        if route.kind is RouteKind.STREAMING:
-            await self._stream(exchange, request, route, service)
-        else:
-            await self._forward(exchange, request, route, service)
+        with self._durations.measured(route):
+            if route.kind is RouteKind.STREAMING:
+                await self._stream(exchange, request, route, service)
+            else:
+                await self._forward(exchange, request, route, service)
 
     async def _wait_for_routes(self) -> RouteTable | None:
         """Return the routes, after a short wait if the daemon has just started."""
@@ -255,50 +305,6 @@
             took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 4),
         )
 
-    # Batch jobs.
-
-    async def _submit_job(self, exchange: Exchange, route: Route) -> None:
-        job_id = exchange.header(ATTEMPT_HEADER)
-        if not job_id or exchange.method != "POST":
-            raise InvalidRequest(
-                f"a job submission must be a POST with the header {ATTEMPT_HEADER}"
-            )
-        body = await exchange.read_body(self.limits.max_body_bytes)
-        submission = decode_submission(job_id, exchange.host, exchange.path, body)
-        caller_timeout_ms = exchange.float_header(DEADLINE_HEADER)
-        caller_timeout_s = (
-            _DEFAULT_SUBMIT_S if caller_timeout_ms is None else caller_timeout_ms / 1000
-        )
-        limit_s = min(caller_timeout_s * _SUBMIT_FRACTION, route.timeout_s)
-        await self._jobs.submit(submission, exchange.arrived_s + limit_s)
-        await exchange.respond(202)
-
-    async def _serve_job_call(self, exchange: Exchange, job_id: str) -> None:
-        query = parse_qs(exchange.query)
-        if exchange.path.startswith(_ITEMS_PATH):
-            body = await self._jobs.body(job_id, query.get("id", [""])[0])
-            await exchange.respond(200, body, [("Content-Type", "application/octet-stream")])
-            return
-        if exchange.method == "DELETE":
-            await self._jobs.end(job_id)
-            await exchange.respond(200)
-            return
-        after_text = query.get("after", ["0"])[0]
-        after = parse_decimal(after_text)
-        if after is None:
-            raise InvalidRequest(f"the position must be a non-negative integer, not {after_text!r}")
-        wait_s = min((exchange.float_header(WAIT_HEADER) or 0.0) / 1000, _MAX_READ_WAIT_S)
-        page = await self._jobs.results(job_id, after, wait_s)
-        self._log.info(
-            "results_read",
-            job_id=job_id,
-            after=after,
-            results=len(page.results),
-            total=page.total,
-            took_s=round(self._clock.monotonic_s() - exchange.arrived_s, 3),
-        )
-        await exchange.respond(200, encode_page(page, after), _JSON)
-
     # Disconnects and errors.
 
     async def _cancel_on_disconnect(
@@ -328,7 +334,7 @@
         self._log.info(
             "request_failed",
             request_id=exchange.header(ATTEMPT_HEADER),
-            job_id=_job_id_of_path(exchange.path),
+            job_id=job_id_of_path(exchange.path),
             path=exchange.path,
             status=status,
             code=error.code,
@@ -375,15 +381,7 @@
     return 504 if isinstance(error, DeadlineExceeded) else 502
 
 
-def _job_id_of_path(path: str) -> str | None:
-    """Return the job id in the path of a job call, None for other paths."""
-    for prefix in (_JOBS_PATH, _ITEMS_PATH):
-        if path.startswith(prefix):
-            return path.removeprefix(prefix)
-    return None
-
-
 def _operation(exchange: Exchange) -> str:
-    if exchange.path.startswith(_JOBS_PATH):
+    if exchange.path.startswith(JOBS_PATH):
         return "end_job" if exchange.method == "DELETE" else "read_results"
-    return "read_body" if exchange.path.startswith(_ITEMS_PATH) else "request"
+    return "read_body" if exchange.path.startswith(ITEMS_PATH) else "request"
--- a/src/verbenawind/platform/daemon.py
+++ b/src/verbenawind/platform/daemon.py
@@ -1,10 +1,8 @@
 """The platform daemon: its composition root, start and shutdown."""
 
 import asyncio
-import contextlib
 import signal
 import sys
-from collections import Counter
 from collections.abc import Awaitable, Callable, MutableMapping
 from random import Random
 from typing import Any
@@ -15,7 +13,7 @@
 
 from verbenawind.clock import Clock, SystemClock, boot_time_s
 from verbenawind.errors import SettingsInvalid
-from verbenawind.gateway import ServerState
+from verbenawind.gateway import Drain, RequestDurations
 from verbenawind.http_server import HttpServer
 from verbenawind.logs import LogCounts, configure_logs
 from verbenawind.metrics import Metrics
@@ -23,13 +21,14 @@
 from verbenawind.platform.backends import HttpBackends
 from verbenawind.platform.caller_app import CallerApp
 from verbenawind.platform.configuration import PlatformRegistry
+from verbenawind.platform.gauges import DaemonGauges
+from verbenawind.platform.job_calls import JobCalls
 from verbenawind.platform.settings import HostSettings, load_host_settings
 from verbenawind.platform.store import PlatformStore
 from verbenawind.plugins.http1_client import Http1Client
 from verbenawind.plugins.peer_websocket import WebSocketPeerTransport
 from verbenawind.plugins.tcp_probe import TcpProbe
 from verbenawind.state.relay import RelayClient, RelayServer
-from verbenawind.state.table_follower import TableFollower
 
 __all__ = ["PlatformDaemon", "run"]
 
@@ -44,6 +43,11 @@
 _UNREADY_NOTICE_S = 3.2
 # The part of the platform's grace period that is reserved for the exit of the process.
 _EXIT_MARGIN_S = 0.8
+_MIN_DRAIN_S = 0.1
+# With a short grace period, requests in flight have at least half of it after the notice.
+_MAX_NOTICE_FRACTION = 0.5
+# How long callers have to read the answers to requests that are ended.
+_LAST_ANSWERS_S = 0.3
 _MAX_HEAD_BYTES = 256 * 1024
 _WRITE_TIMEOUT_S = 20.0
 
@@ -74,7 +78,6 @@
     ) -> None:
         self.settings = settings
         self._clock = clock
-        self._log_counts = log_counts
         self._log = structlog.get_logger("daemon")
         self.metrics = Metrics()
         self.store = PlatformStore(
@@ -110,12 +113,16 @@
             timings=self.metrics,
         )
         self.store.relay_client = RelayClient(self._transport, self.node.peer_addresses, clock, rng)
+        durations = RequestDurations(clock)
+        self.drain = Drain(durations, clock)
         self.caller_app = CallerApp(
             routes=lambda: self.node.routes,
             informed=lambda: self.node.informed,
             forwarder=self.node.forwarder,
             streams=self.node.streams,
-            jobs=self.node.jobs,
+            job_calls=JobCalls(self.node.jobs, self.drain, clock),
+            drain=self.drain,
+            durations=durations,
             metrics=self.metrics,
             clock=clock,
         )
@@ -128,7 +135,15 @@
             self._create_server(settings.ready_address, self._serve_readiness),
             self._create_server(settings.metrics_address, self._serve_metrics),
         ]
-        self.metrics.on_render(self._update_gauges)
+        gauges = DaemonGauges(
+            self.metrics,
+            self.node,
+            self.store,
+            self._relay_server,
+            self._backend_client,
+            log_counts,
+        )
+        self.metrics.on_render(gauges.update)
 
     async def start(self) -> None:
         """Start serving, then read the store.
@@ -148,22 +163,26 @@
         )
 
     async def stop(self) -> None:
-        """Release jobs and the lease, keep serving until callers have disconnected, then stop.
+        """Release jobs and the lease, serve what can end in time, then stop.
 
-        Requests are served for at least the time in which the load balancer notices that the daemon
-        is not ready, and at most until shortly before the platform's grace period ends.
+        Connections are accepted until the load balancer has noticed that the daemon is not ready.
+        What is still in flight shortly before the platform's grace period ends gets an answer, or
+        is cut off if its answer has begun.
         """
         started_s = self._clock.monotonic_s()
-        self.caller_app.draining = True
+        drain_s = max(_MIN_DRAIN_S, self.settings.stop_grace_s - _EXIT_MARGIN_S)
+        self.drain.begin(drain_s)
         self._log.info("stopping", grace_s=self.settings.stop_grace_s)
-        await self.node.hand_over()
-        remaining_s = _UNREADY_NOTICE_S - (self._clock.monotonic_s() - started_s)
-        await self._clock.sleep(max(0.0, remaining_s))
-        remaining_s = self.settings.stop_grace_s - _EXIT_MARGIN_S
-        remaining_s -= self._clock.monotonic_s() - started_s
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.1, remaining_s)):
-                await self._servers[0].stop()
+        hand_over = asyncio.get_running_loop().create_task(self.node.hand_over())
+        await self._clock.sleep(min(_UNREADY_NOTICE_S, drain_s * _MAX_NOTICE_FRACTION))
+        closed = asyncio.get_running_loop().create_task(self._servers[0].stop())
+        await asyncio.wait({hand_over, closed}, timeout=self.drain.remaining_s)
+        if hand_over.done() and (error := hand_over.exception()) is not None:
+            # Other hosts take over what was not released.
+            self._log.error("hand_over_failed", exc_info=error)
+        if not closed.done():
+            self.caller_app.end_requests()
+            await asyncio.wait({closed}, timeout=_LAST_ANSWERS_S)
         self.node.kill()
         self._log.info("stopped", took_s=round(self._clock.monotonic_s() - started_s, 2))
 
@@ -200,175 +219,6 @@
         body, content_type = self.metrics.render(())
         await _send_response(send, 200, body, content_type)
 
-    def _update_limit_gauges(self) -> None:
-        """Update the gauges of the servers that limit the requests that they take."""
-        limits, allowances = self.node.limits, self.node.allowances
-        set_gauge = self.metrics.set_value
-        for backend in self.node.directory.all():
-            instance = backend.instance
-            rate_per_s = limits.rate_per_s(instance)
-            if rate_per_s is None and not limits.recent_sends(instance):
-                continue
-            server = instance.instance_id
-            set_gauge(
-                "server_limit_per_second",
-                "Requests a second that a server takes from all hosts; -1 for any number.",
-                -1.0 if rate_per_s is None else rate_per_s,
-                server=server,
-            )
-            set_gauge(
-                "server_limit_share",
-                "Part of a limited server's turns that this host has had lately.",
-                allowances.share(instance),
-                server=server,
-            )
-            set_gauge(
-                "server_limit_sends",
-                "Requests that this host sent a limited server in the last 4 s.",
-                limits.recent_sends(instance),
-                server=server,
-            )
-        set_gauge(
-            "limit_refusals",
-            "Requests refused since their servers take no more in time.",
-            allowances.refusals,
-        )
-
-    def _update_gauges(self) -> None:
-        """Update the gauges from the components' own counts."""
-        set_gauge = self.metrics.set_value
-        for name, count in self.store.calls.items():
-            call, _, outcome = name.partition(" ")
-            set_gauge(
-                "store_calls",
-                "Store calls, by call and outcome.",
-                count,
-                call=call,
-                outcome=outcome,
-            )
-        for end, count in self.node.runner.counts.runs.items():
-            set_gauge("item_runs", "Runs of batch items, by outcome.", count, end=end.value)
-        for score_end, count in self.node.runner.scoring.counts.items():
-            set_gauge("scoring_calls", "Scoring calls, by outcome.", count, end=score_end.value)
-        for evidence, count in self.node.server_ends.counts.items():
-            set_gauge(
-                "server_ends",
-                "Decisions whether a server that left a request unanswered had ended, by evidence.",
-                count,
-                evidence=evidence.name.lower(),
-            )
-        set_gauge(
-            "servers_left_by_answer",
-            "Servers that announced in an answer, before the registry, that they leave.",
-            self.node.directory.left_by_answer,
-        )
-        self._update_limit_gauges()
-        guard = self.node.guard
-        set_gauge(
-            "requests_suspected",
-            "Distinct requests under which servers ended, as reported by all hosts.",
-            len(guard.history.fingerprints()),
-        )
-        set_gauge(
-            "requests_convicted",
-            "Distinct requests that are refused because servers ended under them.",
-            len(guard.convicted),
-        )
-        set_gauge(
-            "convicted_refusals",
-            "Refusals of requests under which servers ended.",
-            guard.refusals,
-        )
-        set_gauge("convicted_trials", "Trials of convicted requests by this host.", guard.trials)
-        for answer, count in self.node.load_scheduler.counts.answers.items():
-            set_gauge("orders", "Load orders to engines, by answer.", count, answer=answer)
-        for feed in ("operator", "servers", "hosts", "jobs"):
-            follower: TableFollower = getattr(self.node, f"{feed}_feed")
-            set_gauge(
-                "feed_age_seconds",
-                "Time since the last response of a feed.",
-                follower.age_s(),
-                feed=feed,
-            )
-            set_gauge(
-                "feed_rows_failed",
-                "Rows of a feed that could not be applied and were skipped.",
-                follower.rows_failed,
-                feed=feed,
-            )
-        set_gauge(
-            "server_entries_unusable",
-            "Registry entries that name no server to use.",
-            len(self.node.unusable_servers),
-        )
-        self._update_server_gauges()
-        set_gauge("jobs_owned", "Open batch jobs owned by this daemon.", len(self.node.runner.jobs))
-        set_gauge(
-            "results_listed",
-            "Batch results listed by this daemon.",
-            self.node.runner.results_listed,
-        )
-        set_gauge(
-            "job_takeovers",
-            "Batch jobs taken over from other daemons.",
-            self.node.job_takeover.takeovers,
-        )
-        set_gauge("relayed_calls", "Store calls relayed for peers.", self._relay_server.relayed)
-        set_gauge(
-            "backend_connections_opened",
-            "Connections opened to backend servers.",
-            self._backend_client.connections_opened,
-        )
-        set_gauge(
-            "lease_held",
-            "Whether this daemon holds the lease for load orders.",
-            float(self.node.lease.epoch > 0),
-        )
-        set_gauge(
-            "configuration_version",
-            "Version of the configuration in force, 0 if there is none.",
-            self.node.routes.configuration.version if self.node.routes else 0,
-        )
-        if self._log_counts is not None:
-            set_gauge(
-                "log_lines_dropped",
-                "Log lines dropped because the output was blocked or closed.",
-                self._log_counts.dropped,
-            )
-            for event, count in self._log_counts.omitted.items():
-                set_gauge(
-                    "log_lines_omitted",
-                    "Log lines omitted by the rate limit, by event.",
-                    count,
-                    event=event,
-                )
-
-    def _update_server_gauges(self) -> None:
-        """Update the gauges of servers by state, contact age and weight versions."""
-        set_gauge = self.metrics.set_value
-        servers = list(self.node.directory.all())
-        beliefs = Counter((server.instance.service, server.belief) for server in servers)
-        for service in {server.instance.service for server in servers}:
-            for belief in ServerState:
-                count = beliefs[service, belief]
-                help_text = "Registered servers, by the state that this daemon has recorded."
-                set_gauge("servers", help_text, count, service=service, belief=belief.value)
-            set_gauge(
-                "server_belief_age_seconds",
-                "Longest time since the last contact with a server of the service.",
-                max(s.last_contact_age_s for s in servers if s.instance.service == service),
-                service=service,
-            )
-        for model, newest in self.node.newest_versions.items():
-            loaded = [server.versions[model] for server in servers if model in server.versions]
-            set_gauge("version_named", "Newest published weight version.", newest, model=model)
-            set_gauge(
-                "server_versions_behind",
-                "Versions by which servers are behind the newest, summed over a model's servers.",
-                sum(max(0, newest - version) for version in loaded),
-                model=model,
-            )
-
 
 async def _send_response(send: Send, status: int, body: bytes, content_type: str) -> None:
     headers = [
--- a/src/verbenawind/platform/exchange.py
+++ b/src/verbenawind/platform/exchange.py
@@ -41,9 +41,11 @@
         receive: Receives the request body and the caller's disconnect.
         send: Sends the response.
         arrived_s: Monotonic time at which the request arrived.
+        is_closing: Returns whether the connection is to be closed after the response.
     """
 
     __slots__ = (
+        "_is_closing",
         "_receive",
         "_send",
         "arrived_s",
@@ -58,7 +60,16 @@
         "target",
     )
 
-    def __init__(self, scope: Scope, receive: Receive, send: Send, arrived_s: float) -> None:
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        arrived_s: float,
+        *,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        self._is_closing = is_closing
         self._receive = receive
         self._send = send
         self.arrived_s = arrived_s
@@ -124,7 +135,7 @@
         """Send the response's status and headers."""
         self.started = True
         raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-        if self.close_connection:
+        if self.close_connection or self._is_closing():
             raw.append((b"connection", b"close"))
         await self._send({"type": "http.response.start", "status": status, "headers": raw})
 
--- a/src/verbenawind/platform/store.py
+++ b/src/verbenawind/platform/store.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's metadata store; no other module calls the store."""
 
 import asyncio
-import base64
 from collections.abc import Mapping, Sequence
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -22,10 +21,14 @@
 from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.row_ports import (
     RowChanges,
-    RowId,
     RowPage,
     RowTransaction,
-    StoredRow,
+)
+from verbenawind.platform.store_rows import (
+    WirePage,
+    WireParts,
+    already_applied,
+    wire_transaction,
 )
 from verbenawind.plugins.http1_client import Http1Client, Http1Request
 from verbenawind.state.relay import RelayClient, StoreCall, StoreReply
@@ -48,38 +51,6 @@
 _FEED_TIMEOUT_MARGIN_S = 1.0
 
 
-class _WireRow(msgspec.Struct):
-    """A row; ``ver`` is the store's version counter at the row's last write."""
-
-    table: str
-    key: str
-    part: str = ""
-    value: str = ""
-    ver: int = 0
-    removed: bool = False
-
-    def decode(self) -> StoredRow:
-        return StoredRow(
-            row_id=RowId(table=self.table, part=self.part, key=self.key),
-            value=None if self.removed else _row_value(self.value),
-            version=self.ver,
-        )
-
-
-class _WirePage(msgspec.Struct, rename="kebab"):
-    """A response with rows; ``ver`` is the store's newest version, ``now_ms`` its clock."""
-
-    rows: list[_WireRow] = []
-    has_more: bool = False
-    ver: int = 0
-    now_ms: int = 0
-
-
-class _WireParts(msgspec.Struct, rename="kebab"):
-    parts: list[str] = []
-    has_more: bool = False
-
-
 class PlatformStore:
     """Implements the RowStore port.
 
@@ -144,14 +115,14 @@
                 the transaction.
             StoreUnavailable: No usable response arrived in time.
         """
-        body = msgspec.json.encode(_wire_transaction(transaction))
+        body = msgspec.json.encode(wire_transaction(transaction))
         call = StoreCall(method="POST", target="/api/rows-tx", headers=_JSON, body=body)
         reply, may_have_applied = await self._call(call, timeout_s, writes=True)
         page = self._decode_page(reply.body)
         if reply.status == _OK:
             return page.ver
         current = {row.row_id: row for row in (wire.decode() for wire in page.rows)}
-        if (may_have_applied or repeated) and _already_applied(transaction, current):
+        if (may_have_applied or repeated) and already_applied(transaction, current):
             return max(row.version for row in current.values())
         versions = {
             check.row_id.key: current[check.row_id].version if check.row_id in current else 0
@@ -184,7 +155,7 @@
         while True:
             query = {"table": table} | ({"after": parts[-1]} if parts else {})
             reply, _ = await self._call(_get("/api/rows-parts", query), timeout_s)
-            page = self._decode(reply.body, _WireParts)
+            page = self._decode(reply.body, WireParts)
             parts += page.parts
             if not page.has_more or not page.parts:
                 return parts
@@ -371,8 +342,8 @@
             effect_possible=False,
         )
 
-    def _decode_page(self, body: bytes) -> _WirePage:
-        page = self._decode(body, _WirePage)
+    def _decode_page(self, body: bytes) -> WirePage:
+        page = self._decode(body, WirePage)
         if page.now_ms >= self._store_ms:
             self._store_ms, self._store_ms_at_s = page.now_ms, self._clock.monotonic_s()
         return page
@@ -404,44 +375,5 @@
 _PREFER_RELAY_S = 1.0
 
 
-def _row_value(encoded: str) -> bytes:
-    """Return a row's value, empty if it is not base64; no reader accepts an empty value."""
-    try:
-        return base64.b64decode(encoded)
-    except ValueError:
-        return b""
-
-
 def _get(path: str, query: Mapping[str, Any]) -> StoreCall:
     return StoreCall(method="GET", target=f"{path}?{urlencode(query)}")
-
-
-def _wire_id(row_id: RowId) -> dict[str, Any]:
-    return {"table": row_id.table, "part": row_id.part, "key": row_id.key}
-
-
-def _wire_transaction(transaction: RowTransaction) -> dict[str, Any]:
-    return {
-        "expect": [
-            {**_wire_id(check.row_id), "ver": check.version} for check in transaction.checks
-        ],
-        "writes": [
-            {**_wire_id(write.row_id), "value": base64.b64encode(write.value).decode()}
-            for write in transaction.writes
-            if write.value is not None
-        ],
-        "deletes": [_wire_id(write.row_id) for write in transaction.writes if write.value is None],
-    }
-
-
-def _already_applied(transaction: RowTransaction, current: Mapping[RowId, StoredRow]) -> bool:
-    """Return whether the rows show that an earlier attempt applied the transaction.
-
-    Only rows that are both checked and written are compared, since the store reports no others.
-    """
-    checked = {check.row_id for check in transaction.checks}
-    checked_writes = [write for write in transaction.writes if write.row_id in checked]
-    return bool(checked_writes) and all(
-        write.row_id in current and current[write.row_id].value == write.value
-        for write in checked_writes
-    )
