--- a/src/verbenawind/batches/service.py
+++ b/src/verbenawind/batches/service.py
@@ -69,6 +69,10 @@
         self._submissions: OrderedDict[str, BatchSubmission] = OrderedDict()
         self._log = structlog.get_logger("batches")
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether this daemon knows that a job was accepted; the store may have others."""
+        return self._job_registry.get(job_id) is not None
+
     async def submit(self, submission: BatchSubmission, deadline_s: float) -> None:
         """Accept a job durably; submitting an accepted job again has no effect.
 
--- a/src/verbenawind/gateway/routes.py
+++ b/src/verbenawind/gateway/routes.py
@@ -42,10 +42,6 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def knows_host(self, host: str) -> bool:
-        """Return whether any route exists for a host."""
-        return host.partition(":")[0].lower() in self._by_host
-
 
 def service_of(route: Route, request_id: str) -> str:
     """Return the service for a request. The same request id always maps to the same service."""
--- a/src/verbenawind/platform/caller_app.py
+++ b/src/verbenawind/platform/caller_app.py
@@ -184,9 +184,13 @@
                 retry_after_s=_NO_CONFIGURATION_RETRY_S,
             )
         job_id = job_id_of_path(exchange.path)
-        if job_id is not None and table.knows_host(exchange.host):
+        if job_id is not None:
+            # An accepted job outlasts its route, so that its calls need none.
             await self._job_calls.serve(exchange, job_id)
             return
+        if self._job_calls.is_repeated_submission(exchange):
+            await self._job_calls.confirm(exchange, self.limits.max_body_bytes)
+            return
         route = table.match(exchange.host, exchange.path)
         if route is None:
             self._log.info(
--- a/src/verbenawind/platform/job_calls.py
+++ b/src/verbenawind/platform/job_calls.py
@@ -1,12 +1,13 @@
 """The calls of trainers for batch jobs: submit, read results, read an item's body, end."""
 
+import contextlib
 from urllib.parse import parse_qs, unquote
 
 import structlog
 
 from verbenawind.batches import BatchJobs
 from verbenawind.clock import Clock
-from verbenawind.errors import InvalidRequest
+from verbenawind.errors import InvalidRequest, TooLarge
 from verbenawind.gateway import Drain, Route
 from verbenawind.kernel.http_syntax import parse_decimal
 from verbenawind.platform.batches import decode_submission, encode_page
@@ -50,6 +51,18 @@
         self._clock = clock
         self._log = structlog.get_logger("front")
 
+    def is_repeated_submission(self, exchange: Exchange) -> bool:
+        """Return whether a request submits a job that is known to have been accepted."""
+        job_id = exchange.header(ATTEMPT_HEADER)
+        return exchange.method == "POST" and bool(job_id) and self._jobs.is_known(job_id or "")
+
+    async def confirm(self, exchange: Exchange, max_body_bytes: int) -> None:
+        """Confirm a job that was accepted before, whatever its route and the limits are now."""
+        with contextlib.suppress(TooLarge):
+            await exchange.read_body(max_body_bytes)
+        self._log.info("job_repeated", job_id=exchange.header(ATTEMPT_HEADER))
+        await exchange.respond(202)
+
     async def submit(self, exchange: Exchange, route: Route, max_body_bytes: int) -> None:
         """Accept a batch job.
 
