--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -343,16 +343,21 @@
         def time_for_call_s(job: OwnedJob, work: ItemWork) -> float:
             """Settle an item that needs no call or may have none; return 0 for these."""
             route = table.match(job.submission.host, work.item.path.partition("?")[0])
-            if route is None:
-                self._outcomes.terminate(job, work, "its route was removed")
-                return 0.0
-            if not work.partial.satisfies(job.stored.record.min_version, route.single_version):
+            # Whether a removed route allowed several versions is not known any more.
+            single_version = route is None or route.single_version
+            if not work.partial.satisfies(job.stored.record.min_version, single_version):
                 work.partial.clear()
                 return 0.0
             if work.item.scoring is None:
                 self._outcomes.finish(job, work)
                 return 0.0
-            return self._check_retention_s(job, work, route)
+            if route is not None:
+                return self._check_retention_s(job, work, route)
+            call = work.item.scoring
+            if table.match(call.host, call.path.partition("?")[0]) is None:
+                self._outcomes.terminate(job, work, "its route and that of its score were removed")
+                return 0.0
+            return _DEFAULT_RETENTION_S
 
         self.scoring.start_calls(list(self.jobs.values()), table, time_for_call_s)
 
