--- a/src/verbenawind/batches/job_rows.py
+++ b/src/verbenawind/batches/job_rows.py
@@ -1,6 +1,6 @@
 """The rows and objects of batch jobs: their names, and the types of what they hold."""
 
-from verbenawind.batches.types import ItemResult, JobRecord
+from verbenawind.batches.types import ItemResult, JobRecord, ResultState
 from verbenawind.kernel.decoding import decode_json
 from verbenawind.kernel.messages import Value
 from verbenawind.kernel.row_ports import RowId
@@ -77,7 +77,7 @@
     """
 
     item_id: str
-    state: str
+    state: ResultState
     text: str
     versions: tuple[int, ...]
     text_object: str = ""
@@ -97,7 +97,7 @@
     """Return a result as it is stored in a row."""
     return StoredResult(
         item_id=result.item_id,
-        state=result.state.value,
+        state=result.state,
         text=result.text,
         versions=result.versions,
         score=result.score,
--- a/src/verbenawind/batches/job_store.py
+++ b/src/verbenawind/batches/job_store.py
@@ -29,11 +29,11 @@
     ItemResult,
     JobRecord,
     JobState,
-    ResultState,
 )
-from verbenawind.errors import RowConflict, StoreUnavailable
+from verbenawind.errors import RowConflict, StoreUnavailable, Undecodable
 from verbenawind.ids import digest_hex
 from verbenawind.kernel.decoding import decode_msgpack
+from verbenawind.kernel.http_syntax import parse_decimal
 from verbenawind.kernel.row_ports import (
     RowCheck,
     RowId,
@@ -292,7 +292,10 @@
             if row.value is None:
                 continue
             stored = decode_msgpack(row.value, list[StoredResult])
-            first = int(row.row_id.key) - len(stored) + 1
+            last = parse_decimal(row.row_id.key)
+            if last is None:
+                raise Undecodable(f"job {job_id}: {row.row_id.key!r} is not a position")
+            first = last - len(stored) + 1
             for result in stored[max(0, after - first) :]:
                 text = await self._load_text(result, timeout_s)
                 size_bytes += len(text)
@@ -301,7 +304,7 @@
                 found.append(
                     ItemResult(
                         item_id=result.item_id,
-                        state=ResultState(result.state),
+                        state=result.state,
                         text=text,
                         versions=result.versions,
                         score=result.score,
--- a/src/verbenawind/gateway/routes.py
+++ b/src/verbenawind/gateway/routes.py
@@ -44,7 +44,12 @@
 
 
 def service_of(route: Route, request_id: str) -> str:
-    """Return the service for a request. The same request id always maps to the same service."""
+    """Return the service for a request. The same request id always maps to the same service.
+
+    A route without services has the service of no name, which has no servers.
+    """
+    if not route.services:
+        return ""
     if len(route.services) == 1:
         return route.services[0].service
     point = xxhash.xxh32_intdigest(request_id.encode()) / _HASH_SPACE
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -2,6 +2,7 @@
 
 import math
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -85,3 +86,10 @@
         services = [service_of(shared, f"r{number}") for number in range(2000)]
         assert 120 < services.count("small") < 280
         assert services == [service_of(shared, f"r{number}") for number in range(2000)]
+
+
+class TestRoutesWithoutServices:
+    def test_route_without_services_names_a_service_without_servers(self) -> None:
+        """A configuration whose weights are all zero must not fail each request and each item."""
+        empty = msgspec.structs.replace(route("/a/"), services=())
+        assert service_of(empty, "x") == ""
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -580,3 +580,35 @@
             assert max(len(row.value or b"") for row in desk.crash_rows()) < 8192
 
         run_desk(work)
+
+
+class TestManyCrashingRequests:
+    @pytest.mark.parametrize("seed", range(3))
+    def test_each_of_several_is_bounded_and_sound_ones_are_answered(self, seed: int) -> None:
+        """For 20 s some requests of a class end their servers, and come again (deploy/days/deadly).
+
+        Each has its bound for itself, and sound requests after them are answered.
+        """
+
+        async def work(desk: Desk) -> None:
+            fleet = desk.fleet
+            deadly = [f"ends its server, {number}".encode() for number in range(3)]
+            body_of: dict[str, bytes] = {}
+            for body in deadly:
+                fleet.poison(body)
+            ends_s = fleet.clock.monotonic_s() + 20.0
+            while fleet.clock.monotonic_s() < ends_s:
+                body = fleet.rng.choice(deadly)
+                body_of[f"ask-{desk.requests + 1}"] = body
+                await desk.ask(fleet.rng.randrange(3), body, kind=RouteKind.IDEMPOTENT)
+                await fleet.clock.sleep(fleet.rng.uniform(0.3, 1.5))
+            crashes = sorted(entry for server in desk.servers for entry in server.crash_starts)
+            for body in deadly:
+                sends_s = [at_s for at_s, request_id, _ in crashes if body_of[request_id] == body]
+                late = [at_s for at_s in sends_s if at_s > sends_s[2] + CONTACT_S]
+                assert len(late) <= MAX_LATE_SENDS
+            await fleet.clock.sleep(5.0)
+            replies = [await desk.ask(index % 3, b"sound") for index in range(12)]
+            assert not any(isinstance(reply, VerbenawindError) for reply in replies)
+
+        run_desk(work, seed=seed)
--- a/tests/node/test_job_store_conditions.py
+++ b/tests/node/test_job_store_conditions.py
@@ -13,8 +13,9 @@
 
 from node.fleet import job
 from verbenawind.batches import ItemResult, JobRecord, JobState, JobStore, ResultState, StoredJob
-from verbenawind.batches.job_rows import KeptText, Tail
-from verbenawind.errors import RowConflict
+from verbenawind.batches.job_rows import RESULTS_TABLE, KeptText, Tail
+from verbenawind.errors import RowConflict, Undecodable
+from verbenawind.kernel.row_ports import RowId
 from verbenawind.standins.deployment import run_virtual
 from verbenawind.standins.row_store import MemoryRowStore
 
@@ -141,3 +142,25 @@
             await asyncio.sleep(0)
 
         with_job(work)
+
+
+class TestForeignRows:
+    @pytest.mark.parametrize(
+        ("key", "value"),
+        [
+            ("²", msgspec.msgpack.encode([("i", "completed", "x", (1,))])),
+            ("00000000", msgspec.msgpack.encode([("i", "unknown", "x", (1,))])),
+            ("00000000", b"\x91" * 5000),
+        ],
+        ids=["position", "state", "nested"],
+    )
+    def test_row_that_is_no_result_is_undecodable(self, key: str, value: bytes) -> None:
+        """A reader gets an error that promises nothing, rather than a fault of the daemon."""
+
+        async def work() -> None:
+            rows = MemoryRowStore(Random(1))
+            rows.put(RowId(table=RESULTS_TABLE, part="job-1", key=key), value)
+            with pytest.raises(Undecodable):
+                await JobStore(rows.view(), 65536).results("job-1", 0, TIMEOUT_S)
+
+        run_virtual(work())
