--- a/src/verbenawind/batches/runner.py
+++ b/src/verbenawind/batches/runner.py
@@ -31,6 +31,7 @@
     Directory,
     Permit,
     Route,
+    RouteKind,
     RouteTable,
     service_of,
 )
@@ -301,7 +302,7 @@
     def _start(self, table: RouteTable, job: OwnedJob, work: ItemWork, waiting: int) -> bool:
         """Start or terminate an item, or return False if no engine has a free slot for it."""
         record = job.stored.record
-        route = table.match(job.submission.host, work.item.path.partition("?")[0])
+        route = _batch_route(table, job, work)
         if route is None:
             self._outcomes.terminate(job, work, "its route was removed")
             return True
@@ -342,7 +343,7 @@
 
         def time_for_call_s(job: OwnedJob, work: ItemWork) -> float:
             """Settle an item that needs no call or may have none; return 0 for these."""
-            route = table.match(job.submission.host, work.item.path.partition("?")[0])
+            route = _batch_route(table, job, work)
             # Whether a removed route allowed several versions is not known any more.
             single_version = route is None or route.single_version
             if not work.partial.satisfies(job.stored.record.min_version, single_version):
@@ -475,3 +476,9 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._log.error("batch_task_failed", exc_info=error)
+
+
+def _batch_route(table: RouteTable, job: OwnedJob, work: ItemWork) -> Route | None:
+    """Return the route of an item, None if its path has none for batch jobs any more."""
+    route = table.match(job.submission.host, work.item.path.partition("?")[0])
+    return route if route is not None and route.kind is RouteKind.BATCH else None
--- a/tests/node/test_removed_routes.py
+++ b/tests/node/test_removed_routes.py
@@ -2,6 +2,7 @@
 
 from node.fleet import Fleet, check_complete, job, run_fleet
 from verbenawind.batches import ResultState
+from verbenawind.gateway import RouteKind
 
 OTHER_HOST = "elsewhere.example"
 
@@ -27,6 +28,25 @@
 
         run_fleet(work)
 
+    def test_items_are_terminated_if_their_path_is_for_other_requests(self) -> None:
+        """A path that a configuration gives to plain requests runs no items, and the job ends."""
+
+        async def work(fleet: Fleet) -> None:
+            await fleet.start(engines=1)
+            first, second = fleet.members.values()
+            submission = job(groups=4, size=4, events=30)
+            await fleet.submit(first, submission)
+            engine = next(iter(fleet.engines.engines.values()))
+            await fleet.until(lambda: engine.running)
+            running = engine.running
+            fleet.configure(2, kind=RouteKind.IDEMPOTENT, retention_s=0.0)
+            results = await fleet.collect(second, submission)
+            states = [result.state for result in results]
+            assert states.count(ResultState.COMPLETED) == running
+            assert states.count(ResultState.TERMINATED) == len(submission.items) - running
+
+        run_fleet(work)
+
     def test_texts_are_scored_after_the_end_of_their_route(self) -> None:
         """A complete text whose score is still due is not thrown away with the route."""
 
