--- a/src/verbenawind/platform/configuration.py
+++ b/src/verbenawind/platform/configuration.py
@@ -108,7 +108,7 @@
 class _LoadedModel(_Wire, frozen=True, kw_only=True):
     name: str
     # The version of the weights; the field of this name in the server's own record is the version
-    # of its software and is not read.
+    # of its software.
     version: Count
 
 
@@ -120,6 +120,10 @@
     state: Literal["ready", "draining"]
     # Start time of the server's current incarnation, in Unix milliseconds.
     born: Count = 0
+    # Not used, but an entry with another type here is no server's.
+    version: str = ""
+    cold_remaining_ms: float = 0
+    seq: Int64 = 0
     models: list[_LoadedModel] = []
 
 
--- a/tests/on_platform/test_settings.py
+++ b/tests/on_platform/test_settings.py
@@ -103,6 +103,9 @@
             {"state": "resting"},
             {"models": [{"name": "m"}]},
             {"born": 1.5},
+            {"version": 7},
+            {"cold-remaining-ms": "long"},
+            {"seq": []},
         ],
     )
     def test_unusable_entry_is_ignored(self, change: dict[str, object]) -> None:
