--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -105,6 +105,10 @@
             log.seek(self._log_offset)
             return b'"event": "started"' in log.read()
 
+    def count_logged(self, event: str) -> int:
+        """Return how often the processes of this host have logged an event."""
+        return self._log.read_bytes().count(f'"event": "{event}"'.encode())
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the daemon's process, if it is running."""
         if self.process is not None and self.process.returncode is None:
