--- a/src/verbenawind/api/errors.py
+++ b/src/verbenawind/api/errors.py
@@ -43,6 +43,7 @@
     StoreUnavailable,
     TooLarge,
     Unauthorized,
+    Undecodable,
     UnknownEnvironment,
     UnknownResource,
     VerbenawindError,
@@ -170,6 +171,7 @@
 @http_status.register(NoBackendServer)
 @http_status.register(Overloaded)
 @http_status.register(StoreUnavailable)
+@http_status.register(Undecodable)
 def _(_: VerbenawindError) -> int:
     return 503
 
